--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -51,6 +51,10 @@
 /// be current, so it is short beside every limit on staleness.
 const WATCH_MS: u64 = 1000;
 
+/// How long news of jobs are gathered, by the leader and by others.
+const NEWS_LEADER: Micros = Micros::from_millis(60);
+const NEWS: Micros = Micros::from_millis(400);
+
 /// This node's knowledge of the term, and its part in it.
 pub struct Leadership {
     node: String,
@@ -261,7 +265,11 @@
                     }
                     self.lead.jobs_after = self.lead.jobs_after.max(events.revision);
                     self.lead.jobs_at = self.lead.jobs_at.max(sent);
-                    self.watch_jobs(Micros::ZERO);
+                    // Every watch that is opened counts as a request: the news
+                    // of a moment are fetched at once. Only the leader acts on
+                    // them soon.
+                    let pause = if self.leader.is_some() { NEWS_LEADER } else { NEWS };
+                    self.watch_jobs(pause);
                 }
                 StoreAnswer::Compacted => self.start_over(),
                 _ => {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -228,7 +228,7 @@
     /// A controller that knows only its settings.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Core {
         let p = &settings.params.state;
-        let store = StoreQueue::new(p.rps * 0.3, p.write_rps * 0.3, now);
+        let store = StoreQueue::new(p.rps * 0.2, p.write_rps * 0.2, now);
         let lead = Leadership::new(&settings, now);
         let mut core = Core {
             site: Site {
@@ -256,14 +256,18 @@
         core
     }
 
-    /// The leader writes most; the others share the rest for acceptances.
+    /// What this node may always ask of the state service, and what it may ask
+    /// while the service refuses nothing: users come to the nodes unevenly.
     fn set_rates(&mut self) {
         let p = &self.site.settings.params.state;
         let others = (self.site.nodes() - 1).max(1) as f64;
         let (rps, writes) = if self.leader.is_some() {
-            (p.rps * 0.5, p.write_rps * 0.6)
+            ((p.rps * 0.35, p.rps * 0.6), (p.write_rps * 0.45, p.write_rps * 0.7))
         } else {
-            (p.rps * 0.4 / others, p.write_rps * 0.6 / others)
+            (
+                (p.rps * 0.55 / others, p.rps * 0.3),
+                (p.write_rps * 0.45 / others, p.write_rps * 0.3),
+            )
         };
         self.sh.store.set_rates(rps, writes, self.sh.now);
     }
--- a/src/coordination/store_queue.rs
+++ b/src/coordination/store_queue.rs
@@ -38,8 +38,17 @@
     flying: BTreeMap<u64, (W, bool)>,
     watches: usize,
     next: u64,
+    /// The least and the most of requests and changes a second, the present
+    /// rates, and when they were last raised.
+    least: (f64, f64),
+    most: (f64, f64),
+    rates: (f64, f64),
+    raised: Micros,
 }
 
+/// A rate grows to its most over so many seconds without a refusal.
+const GROWTH_S: f64 = 8.0;
+
 /// How many changes a request makes.
 fn changes(request: &StoreRequest) -> f64 {
     match request {
@@ -58,13 +67,37 @@
             flying: BTreeMap::new(),
             watches: 0,
             next: 1,
+            least: (rps, write_rps),
+            most: (rps, write_rps),
+            rates: (rps, write_rps),
+            raised: now,
         }
     }
 
-    /// This node's share of the service's limits.
-    pub fn set_rates(&mut self, rps: f64, write_rps: f64, now: Micros) {
-        self.requests.set_rate(rps, now);
-        self.writes.set_rate(write_rps, now);
+    /// This node's share of the service's limits: what it always has, and what
+    /// it may grow to while the service refuses nothing.
+    pub fn set_rates(&mut self, rps: (f64, f64), write_rps: (f64, f64), now: Micros) {
+        self.least = (rps.0, write_rps.0);
+        self.most = (rps.1, write_rps.1);
+        self.rates = self.least;
+        self.raised = now;
+        self.requests.set_rate(self.rates.0, now);
+        self.writes.set_rate(self.rates.1, now);
+    }
+
+    /// Raises the rates little by little. Nodes that are refused fall back, so
+    /// that together they settle near the service's limits wherever users come.
+    fn grow(&mut self, now: Micros) {
+        let span = now.since(self.raised).secs();
+        if span < 0.25 {
+            return;
+        }
+        self.raised = now;
+        let step = |rate: f64, least: f64, most: f64| (rate + (most - least) * span / GROWTH_S).clamp(least, most);
+        self.rates.0 = step(self.rates.0, self.least.0, self.most.0);
+        self.rates.1 = step(self.rates.1, self.least.1, self.most.1);
+        self.requests.set_rate(self.rates.0, now);
+        self.writes.set_rate(self.rates.1, now);
     }
 
     /// Queues a request.
@@ -91,6 +124,7 @@
 
     /// The requests that may go out now, with their ids.
     pub fn pump(&mut self, now: Micros) -> Vec<(u64, StoreRequest, Micros)> {
+        self.grow(now);
         while let Some(entry) = self.delayed.first_entry() {
             if entry.key().0 > now {
                 break;
@@ -133,6 +167,11 @@
         if refused {
             self.writes.take(1.0, now);
             self.requests.take(1.0, now);
+            self.raised = now;
+            self.rates.0 = (self.rates.0 * 0.6).max(self.least.0);
+            self.rates.1 = (self.rates.1 * 0.6).max(self.least.1);
+            self.requests.set_rate(self.rates.0, now);
+            self.writes.set_rate(self.rates.1, now);
         }
         Some(wait)
     }
