Urgent transactions save up their room; changes of all nodes stay below the limit

Cause: at a cold start acceptances, one change each, took what the leader's larger transactions waited for, in its own queue and at the service: claims were recorded 8 s late.

--- a/src/coordination/commit.rs
+++ b/src/coordination/commit.rs
@@ -135,6 +135,8 @@
     slots: u32,
     last_seq: u64,
     seen: u64,
+    /// Pages that a transaction writes at most, less while it is refused.
+    most: usize,
     /// Parts with starts to be recorded, the most urgent first.
     pub starting: BTreeSet<(Reverse<Priority>, u64, JobId, u32)>,
     /// Parts that differ from the book, in the order in which they changed.
@@ -626,7 +628,7 @@
         let ops = site.settings.params.state.txn_ops;
         let value_kb = site.settings.params.state.value_kb;
         let seq = c.last_seq + 1;
-        let mut w = Writer::new(value_kb, PAGES.min(ops / 2));
+        let mut w = Writer::new(value_kb, PAGES.min(ops / 2).min(self.committer.most.max(1)));
         let mut f = Box::new(InFlight {
             oldest: self.clean_up_to(value_kb),
             ..InFlight::default()
@@ -735,7 +737,8 @@
             return;
         }
         self.seal(&mut f, w, seq, lead);
-        let urgency = if starts > 0 { Urgency::Start } else { Urgency::User };
+        let urgent = starts > 0 || !f.claims.is_empty();
+        let urgency = if urgent { Urgency::Start } else { Urgency::User };
         self.committer.written.0 += 1;
         self.committer.written.1 += f.txn.changes.len() as u64;
         let txn = f.txn.clone();
@@ -937,6 +940,7 @@
             }
         }
         self.committer.seen = f.seen;
+        self.committer.most = (self.committer.most + 1).min(PAGES);
         for (id, base, _) in f.headers {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.base = base;
@@ -1097,6 +1101,7 @@
                 StoreAnswer::Refused => {
                     let in_doubt = leader.committer.flying.as_ref().is_some_and(|f| f.in_doubt);
                     if !in_doubt {
+                        leader.committer.most = 1;
                         leader.undo(sh.now);
                     }
                     leader.committer.resend_at = Some(sh.now + sh.jitter(Micros::from_millis(40)));
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -28,6 +28,8 @@
 /// Machines asked for at once: so many even if that is all of a need, and the
 /// most that the cloud takes.
 const BATCH: f64 = 6.0;
+/// Requests on their way at a time.
+const CLAIMS: usize = 16;
 const MOST: f64 = 50.0;
 
 enum CloudWait {
@@ -706,7 +708,7 @@
         only: Option<&Spec>,
         zone_open: &dyn Fn(&String) -> bool,
     ) -> bool {
-        if self.fleet.coming().count() >= 6 {
+        if self.fleet.coming().count() >= CLAIMS {
             return true;
         }
         let specs: Vec<&Spec> = match only {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -258,15 +258,18 @@
 
     /// What this node may always ask of the state service, and what it may ask
     /// while the service refuses nothing: users come to the nodes unevenly.
+    /// Changes of all nodes together stay below the limit. At the limit, the
+    /// service would take the acceptances, one change each, and refuse the
+    /// leader's larger transactions time and again.
     fn set_rates(&mut self) {
         let p = &self.site.settings.params.state;
         let others = (self.site.nodes() - 1).max(1) as f64;
         let (rps, writes) = if self.leader.is_some() {
-            ((p.rps * 0.35, p.rps * 0.6), (p.write_rps * 0.45, p.write_rps * 0.7))
+            ((p.rps * 0.4, p.rps * 0.6), (p.write_rps * 0.45, p.write_rps * 0.45))
         } else {
             (
                 (p.rps * 0.55 / others, p.rps * 0.3),
-                (p.write_rps * 0.45 / others, p.write_rps * 0.3),
+                (p.write_rps * 0.35 / others, p.write_rps * 0.5 / others),
             )
         };
         self.sh.store.set_rates(rps, writes, self.sh.now);
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -89,11 +89,30 @@
     Some(job.arrived + Micros::from_secs(due - job.spec.estimate_s))
 }
 
-/// Whether a job lets others go first: it can no longer be done in time, and
-/// time spent on it now would make others late as well. Not for ever: after a
-/// while its age counts again.
-fn yields(site: &Site, job: &Job, now: Micros) -> bool {
-    latest_start(site, job).is_some_and(|at| now > at && now.since(at) < YIELD)
+/// How many of the times by which a job should be done it can no longer keep.
+/// It lets others go first that can: time spent on it would make them late as
+/// well. Not for ever: after a while its age counts again.
+fn lateness(site: &Site, job: &Job, fetch_s: f64, now: Micros) -> u8 {
+    let objectives = site.settings.params.objectives.iter();
+    let mut dues: Vec<f64> = objectives
+        .filter(|o| o.class == job.spec.class)
+        .filter_map(|o| match o.kind.as_str() {
+            "finished" => o.within_s,
+            "deadline" => Some(job.spec.deadline_s? * o.times.unwrap_or(1.0)),
+            _ => None,
+        })
+        .collect();
+    if dues.is_empty() {
+        dues.extend(job.spec.deadline_s);
+    }
+    let latest = |due: f64| job.arrived + Micros::from_secs((due - job.spec.estimate_s - fetch_s).max(0.0));
+    let missed = dues.iter().filter(|due| now > latest(**due)).count();
+    let last = dues.iter().copied().fold(0.0, f64::max);
+    if now > latest(last) + YIELD {
+        0
+    } else {
+        missed.min(255) as u8
+    }
 }
 
 /// What each team holds: CPUs and GPUs of every record not yet void.
@@ -228,6 +247,16 @@
         (held * 0.15).max(2.0 * largest)
     }
 
+    /// How long a machine that is up needs to have the image; nothing, if one
+    /// has it already.
+    fn fetch_s(&self, site: &Site, spec: &Spec) -> f64 {
+        if self.image_at.get(spec.image.as_str()).is_some_and(|at| !at.is_empty()) {
+            return 0.0;
+        }
+        let rates = site.catalogue.values().map(|t| t.fetch_gb_per_s);
+        spec.image_gb / rates.fold(0.01, f64::max)
+    }
+
     /// One scheduling pass.
     pub fn schedule(&mut self, sh: &mut Shared, site: &Site) {
         let now = sh.now;
@@ -280,7 +309,7 @@
                 let rank = (
                     std::cmp::Reverse(j.spec.priority),
                     !first,
-                    yields(site, j, now),
+                    lateness(site, j, self.fetch_s(site, &j.spec), now),
                     j.version,
                 );
                 (rank, j.id.clone())
@@ -672,8 +701,8 @@
 }
 
 /// The order of the queue: priority, whether beyond the team's guarantee,
-/// whether late beyond help, and age.
-type Rank = (std::cmp::Reverse<Priority>, bool, bool, u64);
+/// how late beyond help, and age.
+type Rank = (std::cmp::Reverse<Priority>, bool, u8, u64);
 
 /// Where a start is counted.
 #[derive(Clone, Copy)]
--- a/src/coordination/store_queue.rs
+++ b/src/coordination/store_queue.rs
@@ -133,6 +133,9 @@
             self.queues[urgency as usize].push_back(queued);
         }
         let mut out = vec![];
+        // A large transaction that waits for room saves it up: smaller ones of
+        // less urgency would take it away for ever.
+        let mut saving = false;
         for (level, reserve) in RESERVE.iter().enumerate() {
             while let Some(head) = self.queues[level].front() {
                 let cost = changes(&head.request);
@@ -140,8 +143,11 @@
                 if !watch && level > 0 && self.flying.len() - self.watches >= IN_FLIGHT {
                     break;
                 }
-                if !self.requests.allows(1.0, *reserve, now) || (cost > 0.0 && !self.writes.allows(cost, *reserve, now))
-                {
+                if !self.requests.allows(1.0, *reserve, now) {
+                    break;
+                }
+                if cost > 0.0 && (saving || !self.writes.allows(cost, *reserve, now)) {
+                    saving = true;
                     break;
                 }
                 self.requests.take(1.0, now);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -51,6 +51,9 @@
     pub within_s: Option<f64>,
     #[serde(default)]
     pub share: Option<f64>,
+    /// Of a deadline: how many times its length count.
+    #[serde(default)]
+    pub times: Option<f64>,
 }
 
 #[derive(Clone, Debug, Deserialize)]
