--- a/src/coordination/book.rs
+++ b/src/coordination/book.rs
@@ -580,6 +580,16 @@
             pools = ?self.pools.iter().map(|(k, v)| format!("{}x{}={}", k.class, k.need, v)).collect::<Vec<_>>(),
             "fleet"
         );
+        let c = &self.committer;
+        tracing::info!(
+            pages = c.pages_kept(),
+            transactions = c.written.0,
+            changes = c.written.1,
+            unrecorded = c.touched.len(),
+            starting = c.starting.len(),
+            undescribed = c.unwritten.len(),
+            "book"
+        );
         for team in &site.settings.params.teams {
             let (mut held, mut wanted, mut oldest) = (0.0, 0.0, Micros::ZERO);
             for job in self.jobs.values().filter(|j| j.spec.team == team.name) {
--- a/src/coordination/commit.rs
+++ b/src/coordination/commit.rs
@@ -156,6 +156,11 @@
         self.closed.contains(id)
     }
 
+    /// Pages that still say something.
+    pub fn pages_kept(&self) -> usize {
+        self.pages.len()
+    }
+
     pub fn term_raised(&mut self) {
         // A transaction in flight either was executed under the old term or
         // fails on its condition; its answer tells which.
@@ -741,6 +746,16 @@
         let urgency = if urgent { Urgency::Start } else { Urgency::User };
         self.committer.written.0 += 1;
         self.committer.written.1 += f.txn.changes.len() as u64;
+        tracing::debug!(
+            pages = f.pages.len(),
+            headers = f.headers.len(),
+            parts = f.parts.len(),
+            rewritten = f.parts.iter().filter(|p| p.base.is_some()).count(),
+            starts,
+            closed = f.closed.len(),
+            over = f.cleaned.len(),
+            "transaction"
+        );
         let txn = f.txn.clone();
         self.committer.last_sent = now;
         self.committer.flying = Some(f);
@@ -768,6 +783,9 @@
     /// room, and sets how far that has come.
     fn clean(&mut self, w: &mut Writer, f: &mut InFlight, seq: u64, ops: usize) {
         let goal = f.oldest;
+        // What is rewritten fills pages that are there anyway: pages of its own
+        // would have to be cleaned in turn, ever more of them.
+        w.most = w.pages.len().max(1);
         let mut old: Vec<(u64, JobId, Option<u32>)> = vec![];
         for (id, job) in self.jobs.iter().filter(|(_, j)| !j.closing) {
             if job.base > 0 && job.base < goal {
