--- a/src/coordination/book.rs
+++ b/src/coordination/book.rs
@@ -56,6 +56,9 @@
     pub helper: bool,
     pub since: Micros,
     pub running_since: Option<Micros>,
+    /// Found in the book: when it really began to run is not known, and what is
+    /// left of its time must not be taken for all of it.
+    pub restored: bool,
 }
 
 /// A part of a job's records.
@@ -100,6 +103,8 @@
     /// Failures in a row, and until when they keep the job from starting.
     pub failures: u32,
     pub not_before: Micros,
+    /// Run times of completed tasks: their sum in seconds, and their number.
+    pub runs: (f64, u32),
     /// Machines it failed on since a task of it last completed.
     pub failed_on: BTreeSet<MachineId>,
     pub told: (u32, u32),
@@ -132,6 +137,7 @@
             arrived: now,
             failures: 0,
             not_before: Micros::ZERO,
+            runs: (0.0, 0),
             failed_on: BTreeSet::new(),
             told: (0, 0),
             stuck_since: None,
@@ -240,8 +246,8 @@
     pub faults: u32,
     pub doubted_until: Micros,
     pub release_sent: Option<Micros>,
-    /// Runs finished here: sum of actual over expected time, and their number.
-    pub pace: (f64, u32),
+    /// Until when it is taken to be slow.
+    pub slow_until: Micros,
 }
 
 impl Machine {
@@ -268,6 +274,7 @@
             && self.taken_at.is_none()
             && self.strangers == 0
             && now >= self.doubted_until
+            && now >= self.slow_until
             && now.since(self.last_report) < silent
             && self.release_sent.is_none()
     }
@@ -320,6 +327,7 @@
     pub fleet: super::fleet::Fleet,
     pub new_term: Option<&'static str>,
     pub next_machines: Micros,
+    pub next_pace: Micros,
     pub next_care: Micros,
     /// Versions of what other nodes say they keep, as last read.
     pub care: BTreeMap<String, u64>,
@@ -360,6 +368,7 @@
             fleet: super::fleet::Fleet::new(now),
             new_term: None,
             next_machines: now,
+            next_pace: now,
             next_care: now,
             care: BTreeMap::new(),
         }
--- a/src/coordination/commit.rs
+++ b/src/coordination/commit.rs
@@ -464,6 +464,7 @@
                 helper: false,
                 since: now,
                 running_since: None,
+                restored: true,
             };
             job.placed.insert(task, placement);
             job.held += 1;
@@ -1213,7 +1214,7 @@
             faults: 0,
             doubted_until: Micros::ZERO,
             release_sent: None,
-            pace: (0.0, 0),
+            slow_until: Micros::ZERO,
         }
     }
 }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -562,8 +562,12 @@
             // Kept by another node only: it runs on, but takes no new work.
             let away = m.kept_at > m.last_report && now.since(m.last_report) > Self::work_silence(site);
             let late = m.state == MachineState::Booting && now.since(m.since) > Micros::from_secs(t.boot_s * 1.6 + 2.0);
-            let usable =
-                m.state != MachineState::Doomed && m.taken_at.is_none() && now >= m.doubted_until && !late && !away;
+            let usable = m.state != MachineState::Doomed
+                && m.taken_at.is_none()
+                && now >= m.doubted_until
+                && now >= m.slow_until
+                && !late
+                && !away;
             if usable {
                 supply[usize::from(m.spot)].cores += t.cpus;
             }
@@ -807,7 +811,7 @@
                 continue;
             }
             let since = *m.idle_since.get_or_insert(now);
-            let doubted = now < m.doubted_until && m.faults >= 2;
+            let doubted = (now < m.doubted_until && m.faults >= 2) || now < m.slow_until;
             if doubted {
                 m.state = MachineState::Doomed;
                 continue;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -6,6 +6,7 @@
 pub mod desk;
 pub mod fleet;
 pub mod leadership;
+pub mod pace;
 pub mod placement;
 pub mod pools;
 pub mod store_queue;
--- /dev/null
+++ b/src/coordination/pace.rs
@@ -0,0 +1,93 @@
+//! Slow machines: noticed by tasks that take far longer than others of their
+//! job. They get nothing new for a while, and what would still be done sooner
+//! elsewhere is started again there.
+
+use super::book::{Leader, MachineId, MachineState, Placement, Stage};
+use super::{JobId, Site};
+use crate::protocol::workers::TaskPhase;
+use crate::time::Micros;
+use std::collections::BTreeSet;
+
+/// A task that runs for this many times the mean of its job's completed ones is
+/// on a slow machine. The mean counts only when half of those that were started
+/// have completed: the short ones complete first.
+const OVERDUE: f64 = 1.9;
+const LEAST_RUNS: u32 = 6;
+/// How much slower a slow machine is taken to be.
+const SLOWNESS: f64 = 3.0;
+/// How long a slow machine gets nothing new; looked at again after that.
+const AVOIDED: Micros = Micros::from_millis(60_000);
+/// Share of the machines that can be slow: beyond it, it is rather the
+/// comparison that is wrong.
+const MOST: f64 = 0.25;
+
+impl Leader {
+    /// The time a task of the job runs, if enough of them have completed.
+    fn usual_s(job: &super::book::Job) -> Option<f64> {
+        let (sum, n) = job.runs;
+        (n >= LEAST_RUNS && n >= job.held).then(|| sum / f64::from(n))
+    }
+
+    /// Looks for tasks that are overdue, and moves work off their machines.
+    pub fn judge_pace(&mut self, site: &Site, now: Micros) {
+        let quiet = Self::work_silence(site);
+        let runs = |p: &Placement| {
+            let on = p.stage == Stage::Seen(TaskPhase::Running) && p.stop.is_none();
+            p.running_since.filter(|_| on).map(|since| now.since(since).secs())
+        };
+        let mut slow: BTreeSet<MachineId> = BTreeSet::new();
+        for job in self.jobs.values().filter(|j| j.is_live() && !j.is_service()) {
+            let Some(usual) = Self::usual_s(job) else { continue };
+            // Times are seen at reports, so the shortest tasks tell nothing.
+            let limit = (usual * OVERDUE).max(usual + 2.0);
+            for p in job.placed.values() {
+                if runs(p).is_some_and(|s| s > limit) {
+                    slow.insert(p.machine.clone());
+                }
+            }
+        }
+        let up = self.machines.values().filter(|m| m.state == MachineState::Up).count();
+        let mut known = self.machines.values().filter(|m| now < m.slow_until).count();
+        for name in &slow {
+            let Some(m) = self.machines.get_mut(name) else { continue };
+            // Silence is another matter: what runs there may long be done.
+            if now.since(m.last_report) > quiet || m.state != MachineState::Up {
+                continue;
+            }
+            if now >= m.slow_until {
+                if known as f64 >= (up as f64 * MOST).max(1.0) {
+                    continue;
+                }
+                known += 1;
+                tracing::info!(machine = %name, "machine doubted: tasks take long on it");
+            }
+            m.slow_until = now + AVOIDED;
+        }
+        // What would be done sooner elsewhere starts again there.
+        let mut moved: Vec<(JobId, u32)> = vec![];
+        for m in self.machines.values().filter(|m| now < m.slow_until) {
+            if now.since(m.last_report) > quiet || m.state != MachineState::Up {
+                continue;
+            }
+            for (id, task) in &m.tasks {
+                let Some(job) = self.jobs.get(id).filter(|j| j.is_live() && !j.is_service()) else {
+                    continue;
+                };
+                let usual = Self::usual_s(job).unwrap_or(job.spec.estimate_s);
+                let Some(ran) = job.placed.get(task).and_then(runs) else {
+                    continue;
+                };
+                // With checkpoints, what has run is not lost.
+                let lost = if job.spec.checkpoint_s > 0.0 { 0.5 } else { 1.0 };
+                if usual * SLOWNESS - ran > usual * (lost + 0.3) + 1.0 {
+                    moved.push((id.clone(), *task));
+                }
+            }
+        }
+        for (id, task) in moved {
+            tracing::debug!(job = %id, task, "moved off a slow machine");
+            let grace = self.jobs.get(&id).map_or(0.0, |j| j.spec.save_s * 1.2);
+            self.stop(&id, task, grace, now);
+        }
+    }
+}
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -513,6 +513,7 @@
                     helper: !matches!(via, Via::Pool),
                     since: pass.now,
                     running_since: None,
+                    restored: false,
                 },
             );
             job.held += 1;
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -271,6 +271,13 @@
         let Some(job) = self.jobs.get_mut(id) else { return };
         match cause {
             Cause::Done if job.is_live() => {
+                let seen = job.placed.get(&task).filter(|p| !p.restored);
+                if let Some(since) = seen.and_then(|p| p.running_since) {
+                    let ran_s = now.since(since).secs();
+                    tracing::debug!(job = %id, task, machine = %name, ran_s, "task done");
+                    job.runs.0 += ran_s;
+                    job.runs.1 += 1;
+                }
                 if job.states[task as usize] == TaskState::Placed {
                     job.states[task as usize] = TaskState::Finished;
                     job.finished += 1;
@@ -415,6 +422,10 @@
         if sure {
             self.judge_machines(site, now);
         }
+        if now >= self.next_pace {
+            self.next_pace = now + Micros::from_millis(1000);
+            self.judge_pace(site, now);
+        }
     }
 }
 
