--- a/src/coordination/book.rs
+++ b/src/coordination/book.rs
@@ -246,6 +246,8 @@
     pub faults: u32,
     pub doubted_until: Micros,
     pub release_sent: Option<Micros>,
+    /// When the last of its tasks is expected to end.
+    pub until: Micros,
     /// Until when it is taken to be slow.
     pub slow_until: Micros,
 }
--- a/src/coordination/commit.rs
+++ b/src/coordination/commit.rs
@@ -1214,6 +1214,7 @@
             faults: 0,
             doubted_until: Micros::ZERO,
             release_sent: None,
+            until: Micros::ZERO,
             slow_until: Micros::ZERO,
         }
     }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -5,7 +5,7 @@
 use super::pools::{split, ClassKey};
 use super::{JobId, Shared, Site};
 use crate::protocol::cloud::MachineType;
-use crate::protocol::users::{Priority, Spec};
+use crate::protocol::users::{Priority, Shape, Spec};
 use crate::time::Micros;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -18,6 +18,10 @@
 const PASS: Micros = Micros::from_millis(40);
 /// Machines looked at in one pass to make room; the rest wait for the next.
 const LOOKS: usize = 4000;
+/// Steps in which it is compared how much longer a machine would be held.
+const LONGER: Micros = Micros::from_millis(4000);
+/// How long a service is taken to last.
+const SERVICE_LASTS: Micros = Micros::from_millis(600_000);
 /// Work within its team's guarantee waits this long for room to fall idle before
 /// work beyond other guarantees is stopped for it.
 const GUARANTEE_PATIENCE: Micros = Micros::from_millis(1500);
@@ -36,6 +40,8 @@
     cpus: f64,
     gpus: f64,
     memory: f64,
+    /// When the last task there is expected to end.
+    until: Micros,
 }
 
 impl Room {
@@ -194,12 +200,16 @@
             let Some(kind) = m.kind else { continue };
             let k = &self.kinds[kind];
             m.room = Some(rooms.len());
+            if m.tasks.is_empty() {
+                m.until = Micros::ZERO;
+            }
             rooms.push(Room {
                 name: m.name.clone(),
                 kind,
                 cpus: k.cpus - m.used[0],
                 gpus: k.gpus - m.used[1],
                 memory: k.memory - m.used[2],
+                until: m.until,
             });
         }
         rooms
@@ -472,6 +482,7 @@
             room.cpus -= job.spec.cpus;
             room.gpus -= job.spec.gpus;
             room.memory -= job.spec.memory;
+            room.until = room.until.max(pass.now + lasts(&job.spec));
             if !self.kinds[room.kind].spot {
                 pass.ordinary_free -= job.spec.cpus;
             }
@@ -521,6 +532,7 @@
                 job.on_helpers += 1;
             }
             machine.take(&job.spec, 1.0);
+            machine.until = machine.until.max(room.until);
             machine.tasks.insert((id.clone(), task));
             machine.idle_since = None;
         }
@@ -701,6 +713,15 @@
     takes: (f64, f64, f64),
 }
 
+/// How long a task of this kind is expected to hold its machine. Nobody says it
+/// of a service.
+fn lasts(spec: &Spec) -> Micros {
+    match spec.shape {
+        Shape::Service => SERVICE_LASTS,
+        Shape::Array => Micros::from_secs(spec.estimate_s),
+    }
+}
+
 /// The order of the queue: priority, whether beyond the team's guarantee,
 /// how late beyond help, and age.
 type Rank = (std::cmp::Reverse<Priority>, bool, u8, u64);
@@ -791,29 +812,36 @@
             }
             let size = (spec.cpus.to_bits(), spec.gpus.to_bits(), spec.memory.to_bits());
             let full = self.full.entry(size).or_insert_with(|| vec![0; kinds.len()]);
-            // The oldest machine of the largest size that has room.
-            let mut best: Option<(f64, usize)> = None;
+            // The machine of the largest size with room whose work goes on the
+            // least longer for this task, and of those the oldest.
+            let end = self.now + lasts(spec);
+            let mut best: Option<(f64, u64, usize)> = None;
             for kind in open {
                 let cpus = kinds[kind].cpus;
-                if best.is_some_and(|(largest, _)| cpus < largest) {
+                if best.is_some_and(|(largest, _, _)| cpus < largest) {
                     break;
                 }
                 let rooms = &self.by_kind[kind];
                 let mut at = full[kind];
-                while let Some(i) = rooms.get(at).copied().filter(|i| best.is_none_or(|b| *i < b.1)) {
+                while let Some(i) = rooms.get(at).copied() {
                     let room = &self.rooms[i];
                     if !room.fits(spec) {
                         if full[kind] == at {
                             full[kind] += 1;
                         }
                     } else if !job.failed_on.contains(&room.name) {
-                        best = Some((cpus, i));
-                        break;
+                        let longer = end.since(room.until).0 / LONGER.0;
+                        if best.is_none_or(|(_, l, b)| (longer, i) < (l, b)) {
+                            best = Some((cpus, longer, i));
+                            if longer == 0 {
+                                break;
+                            }
+                        }
                     }
                     at += 1;
                 }
             }
-            if let Some((_, i)) = best {
+            if let Some((_, _, i)) = best {
                 let there = image_at.is_some_and(|a| a.contains(&self.rooms[i].name));
                 return Some((i, there));
             }
