--- a/src/coordination/book.rs
+++ b/src/coordination/book.rs
@@ -230,6 +230,8 @@
     pub kind: Option<usize>,
     /// CPUs, GPUs and memory that tasks take here.
     pub used: [f64; 3],
+    /// Tasks of services among them.
+    pub services: i32,
     /// Its place in the present scheduling pass, if it takes new work.
     pub room: Option<usize>,
     /// Images fetched here, the last used at the back.
@@ -268,6 +270,9 @@
         self.used[0] += sign * spec.cpus;
         self.used[1] += sign * spec.gpus;
         self.used[2] += sign * spec.memory;
+        if spec.shape == Shape::Service {
+            self.services += if sign > 0.0 { 1 } else { -1 };
+        }
     }
 
     /// Whether something new may start here.
--- a/src/coordination/commit.rs
+++ b/src/coordination/commit.rs
@@ -1205,6 +1205,7 @@
             images: VecDeque::new(),
             kind: None,
             used: [0.0; 3],
+            services: 0,
             room: None,
             idle_since: None,
             to_forget: false,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -42,6 +42,8 @@
     memory: f64,
     /// When the last task there is expected to end.
     until: Micros,
+    /// Whether services run there.
+    serves: bool,
 }
 
 impl Room {
@@ -210,6 +212,7 @@
                 gpus: k.gpus - m.used[1],
                 memory: k.memory - m.used[2],
                 until: m.until,
+                serves: m.services > 0,
             });
         }
         rooms
@@ -291,6 +294,11 @@
             pool_used: BTreeMap::new(),
             helper_used: [0; 2],
             reserve: self.service_reserve(),
+            service_free: rooms
+                .iter()
+                .filter(|r| r.serves && !self.kinds[r.kind].spot)
+                .map(|r| r.cpus)
+                .sum(),
             ordinary_free: rooms.iter().filter(|r| !self.kinds[r.kind].spot).map(|r| r.cpus).sum(),
             starts: 0,
             by_kind: vec![vec![]; self.kinds.len()],
@@ -485,6 +493,15 @@
             room.until = room.until.max(pass.now + lasts(&job.spec));
             if !self.kinds[room.kind].spot {
                 pass.ordinary_free -= job.spec.cpus;
+                if room.serves {
+                    pass.service_free -= job.spec.cpus;
+                }
+            }
+            if job.is_service() && !room.serves {
+                room.serves = true;
+                if !self.kinds[room.kind].spot {
+                    pass.service_free += room.cpus;
+                }
             }
             let held = pass.held.entry(job.spec.team.clone()).or_default();
             held.0 += job.spec.cpus;
@@ -753,6 +770,8 @@
     helper_used: [u32; 2],
     reserve: f64,
     ordinary_free: f64,
+    /// The part of it beside services.
+    service_free: f64,
     starts: usize,
     /// Machines looked at to make room.
     looks: usize,
@@ -804,9 +823,11 @@
                     let at = machines.get(name)?.room?;
                     let room = &self.rooms[at];
                     let place = open.iter().position(|k| *k == room.kind)?;
-                    (room.fits(spec) && !job.failed_on.contains(name)).then_some((place, at))
+                    // Services keep together: their machines are the last that
+                    // can be returned.
+                    (room.fits(spec) && !job.failed_on.contains(name)).then_some((place, !room.serves, at))
                 });
-                if let Some((_, at)) = cached.min() {
+                if let Some((_, _, at)) = cached.min() {
                     return Some((at, true));
                 }
             }
@@ -830,6 +851,13 @@
                             full[kind] += 1;
                         }
                     } else if !job.failed_on.contains(&room.name) {
+                        // Beside services, room is kept for the next ones: they
+                        // would spread over all machines otherwise.
+                        let beside = room.serves && !production && !kinds[kind].spot;
+                        if beside && self.service_free - spec.cpus < self.reserve - EPS {
+                            at += 1;
+                            continue;
+                        }
                         let longer = end.since(room.until).0 / LONGER.0;
                         if best.is_none_or(|(_, l, b)| (longer, i) < (l, b)) {
                             best = Some((cpus, longer, i));
