Starts of a cancelled job that were never recorded are dropped

A user cancelled an array between placing and recording; its unrecorded starts stayed in the book's next transactions, which all failed on the job's key, until the machines were given up for keeping a cancelled task. At the takeover at 340 s, 293 machines that were up and idle were given up as never booted. Ruled out: processor time, refusals, slow answers of the state service. Change: such starts are void; a new leader waits for reports before it calls a boot late.

--- a/src/coordination/book.rs
+++ b/src/coordination/book.rs
@@ -462,9 +462,28 @@
         for task in tasks {
             self.stop(id, task, 0.0, now);
         }
+        self.drop_unrecorded(id, now);
         self.dirty = true;
     }
 
+    /// Starts of a job that is over and whose records are not on their way were
+    /// never written and never sent: they are void. Kept, they would make every
+    /// transaction fail on the job's key, and with them everybody else's.
+    pub fn drop_unrecorded(&mut self, id: &str, now: Micros) {
+        let Some(job) = self.jobs.get(id).filter(|j| !j.is_live()) else {
+            return;
+        };
+        let key = job.id.clone();
+        let unrecorded = |(task, p): (&u32, &Placement)| {
+            let flies = self.committer.carries(&key, *task);
+            (p.stage == Stage::Committing && !flies).then_some(*task)
+        };
+        let tasks: Vec<u32> = job.placed.iter().filter_map(unrecorded).collect();
+        for task in tasks {
+            self.free(&key, task, now);
+        }
+    }
+
     /// Asks a task to stop, at once and again with every report's answer.
     pub fn stop(&mut self, id: &str, task: u32, grace_s: f64, now: Micros) {
         let Some(placement) = self.jobs.get_mut(id).and_then(|j| j.placed.get_mut(&task)) else {
--- a/src/coordination/commit.rs
+++ b/src/coordination/commit.rs
@@ -156,6 +156,12 @@
         self.closed.contains(id)
     }
 
+    /// Whether the transaction in flight records this start.
+    pub fn carries(&self, id: &JobId, task: u32) -> bool {
+        let flying = self.flying.as_ref();
+        flying.is_some_and(|f| f.starts.iter().any(|(j, t, _)| *t == task && j == id))
+    }
+
     /// Pages that still say something.
     pub fn pages_kept(&self) -> usize {
         self.pages.len()
@@ -938,6 +944,7 @@
                 self.committer.starting.insert(entry);
             }
             self.touch(&p.job, p.part, now);
+            self.drop_unrecorded(&p.job, now);
         }
     }
 
@@ -1039,6 +1046,13 @@
         self.fleet.claims_dropped(&f.settled);
     }
 
+    /// Logs why a transaction was not executed; never handles it.
+    fn note_failure(&self, answer: &StoreAnswer) -> bool {
+        let in_doubt = self.committer.flying.as_ref().is_some_and(|f| f.in_doubt);
+        tracing::debug!(?answer, in_doubt, "transaction not executed");
+        false
+    }
+
     fn remember_closed(&mut self, id: JobId) {
         self.committer.closed.insert(id);
         while self.committer.closed.len() > 20_000 {
@@ -1088,6 +1102,8 @@
                 }
             }
             LeaderWait::Commit => match answer {
+                // An operator looks for these when starts lag.
+                ref other if !matches!(other, StoreAnswer::Committed { .. }) && leader.note_failure(other) => {}
                 StoreAnswer::Committed { revision } => leader.apply(sh, revision),
                 StoreAnswer::Conflict { failed, .. } => {
                     let Some(f) = leader.committer.flying.as_ref() else {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -421,7 +421,10 @@
             let boot = site.catalogue.get(&m.machine_type).map_or(60.0, |t| t.boot_s);
             let why = match m.state {
                 MachineState::Booting if m.tasks.is_empty() => {
-                    (now.since(m.since) > Micros::from_secs(boot * 2.2 + 5.0)).then_some("never came up")
+                    // To a new leader all machines are booting until they report.
+                    let heard = now.since(self.began) > silent;
+                    let late = now.since(m.since) > Micros::from_secs(boot * 2.2 + 5.0);
+                    (late && heard).then_some("never came up")
                 }
                 _ if unheard > patience(m) && (!doubt_self || unheard > patience(m) + lease) => Some("silent"),
                 _ if m.taken_at.is_some_and(|at| now > at) && unheard > Micros::from_secs(w.report_s * 1.5 + 1.0) => {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -34,6 +34,8 @@
             Expect::LeaseKills(most) => world.rules.lease_kills <= *most,
             Expect::Stops(most) => world.rules.stops <= *most,
             Expect::Terms(least) => world.last_term() >= *least,
+            Expect::Changes(most) => world.store.changes <= *most,
+            Expect::CloudCalls(most) => world.cloud.calls <= *most,
         };
         if !good {
             wrong.push(format!("expected {expect:?}"));
--- a/tests/sim/cloud.rs
+++ b/tests/sim/cloud.rs
@@ -26,6 +26,7 @@
     next: u64,
     dead_boots: u32,
     pub problems: Vec<String>,
+    pub calls: u64,
 }
 
 impl Cloud {
@@ -39,6 +40,7 @@
             next: 0,
             dead_boots: script.dead_boots,
             problems: vec![],
+            calls: 0,
         }
     }
 
@@ -89,6 +91,7 @@
     pub fn cloud_request(&mut self, n: usize, life: u64, id: u64, request: CloudRequest) {
         let now = self.now;
         let hop = self.hop() * 10;
+        self.cloud.calls += 1;
         let answer = if self.broken.cloud_out.is_empty() {
             match request {
                 CloudRequest::Catalogue => CloudAnswer::Catalogue(Catalogue {
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -381,6 +381,14 @@
                     }
                 }
             }
+            Act::Slow(count) => {
+                let now = self.now;
+                for name in self.busiest(count) {
+                    if let Some(w) = self.workers.get_mut(&name) {
+                        w.slow_down(now, 4);
+                    }
+                }
+            }
             Act::Ghost => self.ghost_machine(),
         }
     }
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -27,6 +27,8 @@
     Kill(usize),
     Notice(u64),
     Faulty(usize),
+    /// Tasks take four times as long on so many machines.
+    Slow(usize),
     /// A machine that nobody expects.
     Ghost,
 }
@@ -51,6 +53,10 @@
     /// Running tasks stopped without their job being cancelled.
     Stops(usize),
     Terms(u64),
+    /// Changes made in the state service.
+    Changes(u64),
+    /// Calls made to the cloud.
+    CloudCalls(u64),
 }
 
 pub struct Script {
@@ -270,10 +276,19 @@
                     "kill" => Act::Kill(count()?),
                     "notice" => Act::Notice(w.word(3)?.parse().map_err(|_| "seconds")?),
                     "faulty" => Act::Faulty(count()?),
+                    "slow" => Act::Slow(count()?),
                     "ghost" => Act::Ghost,
                     other => return Err(format!("unknown act {other}")),
                 };
-                self.steps.push(Step { at, lasts, act, run_s });
+                // `copies=n`: jobs with the following numbers as well.
+                for copy in 0..w.num("copies", 1u32)? {
+                    let mut act = act.clone();
+                    if let Act::Submit(spec) = &mut act {
+                        let number: u32 = spec.id[4..].parse().map_err(|_| "a number is missing")?;
+                        spec.id = format!("run-{:06}", number + copy);
+                    }
+                    self.steps.push(Step { at, lasts, act, run_s });
+                }
             }
             "expect" => {
                 let by = || -> Result<u64, String> {
@@ -294,6 +309,8 @@
                     "lease-kills-at-most" => Expect::LeaseKills(number(2)? as usize),
                     "stops-at-most" => Expect::Stops(number(2)? as usize),
                     "terms-at-least" => Expect::Terms(number(2)?),
+                    "changes-at-most" => Expect::Changes(number(2)?),
+                    "cloud-calls-at-most" => Expect::CloudCalls(number(2)?),
                     other => return Err(format!("unknown expectation {other}")),
                 };
                 self.expect.push(e);
@@ -314,6 +331,7 @@
         spec.cpus = w.num("cores", 1.0)?;
         spec.memory = w.num("mem", 1.0)?;
         spec.save_s = w.num("save", 0.0)?;
+        spec.estimate_s = w.num("estimate", spec.estimate_s)?;
         spec.one_zone = w.has("together");
         spec.spread = w.has("apart");
         spec.spot = w.has("spot");
--- a/tests/sim/store.rs
+++ b/tests/sim/store.rs
@@ -40,6 +40,7 @@
     value_kb: f64,
     level: (f64, f64, u64),
     pub refused: u64,
+    pub changes: u64,
     pub problems: Vec<String>,
 }
 
@@ -58,6 +59,7 @@
             value_kb,
             level: (rps, write_rps, 0),
             refused: 0,
+            changes: 0,
             problems: vec![],
         }
     }
@@ -118,6 +120,7 @@
         }
         self.level.0 -= 1.0;
         self.level.1 -= writes;
+        self.changes += writes as u64;
         true
     }
 
--- a/tests/sim/workers.rs
+++ b/tests/sim/workers.rs
@@ -26,6 +26,7 @@
     pub up: bool,
     pub dead: bool,
     pub faulty: bool,
+    slowness: u64,
     pub hangs_until: u64,
     pub taken: Option<u64>,
     session: u64,
@@ -56,6 +57,7 @@
             up: false,
             dead: false,
             faulty: false,
+            slowness: 1,
             hangs_until: 0,
             taken: None,
             session: 1,
@@ -101,6 +103,14 @@
         self.next_report = self.next_report.min((self.last_sent + SEC / 2).max(now));
     }
 
+    /// From now on everything takes so many times as long.
+    pub fn slow_down(&mut self, now: u64, factor: u64) {
+        self.slowness = factor;
+        for t in self.tasks.values_mut().filter(|t| t.phase == TaskPhase::Running) {
+            t.until = now.saturating_add(t.until.saturating_sub(now).saturating_mul(factor));
+        }
+    }
+
     /// Tasks that have their image and have not exited.
     pub fn on_machine(&self) -> impl Iterator<Item = &str> {
         self.tasks
@@ -179,7 +189,7 @@
                     t.phase = TaskPhase::Running;
                     started.push(task.clone());
                     t.until = match user {
-                        Some(u) if u.spec.shape == Shape::Array => now + u.run,
+                        Some(u) if u.spec.shape == Shape::Array => now + u.run * w.slowness,
                         _ => u64::MAX,
                     };
                     if w.faulty {
