--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -104,6 +104,8 @@
     next_list: Micros,
     listing: Option<String>,
     list_flying: bool,
+    /// Whether this leader has read the whole list of machines once.
+    listed: bool,
     blocked: BTreeMap<(String, String, bool), Micros>,
     releasing: usize,
     next_decide: Micros,
@@ -120,6 +122,7 @@
             next_list: now,
             listing: None,
             list_flying: false,
+            listed: false,
             blocked: BTreeMap::new(),
             releasing: 0,
             next_decide: now,
@@ -274,6 +277,7 @@
                             }
                             leader.fleet.listing = if page.more { last } else { None };
                             if !page.more {
+                                leader.fleet.listed = true;
                                 let pause = self.site.settings.params.cloud.list_lag_s.max(2.0);
                                 leader.fleet.next_list = now + Micros::from_secs(pause);
                             }
@@ -550,6 +554,14 @@
         self.fleet.average_at = Some(now);
         let keep = 0.5f64.powf(span / 20.0);
         self.fleet.average = self.fleet.average * keep + flexible * (1.0 - keep);
+        // A new leader knows from the book only the names of machines with
+        // tasks. Before the list has told what they are, it would rent all that
+        // is there a second time.
+        let patience = Micros::from_secs(site.settings.params.workers.report_s * 1.5 + 2.0);
+        let heard = now.since(self.began) > patience;
+        if !self.fleet.listed && !heard {
+            return;
+        }
         let headroom = 1.0 + site.settings.operator.headroom;
         let want_ordinary = if ordinary > 0.0 {
             ordinary + self.service_reserve()
@@ -564,7 +576,10 @@
             };
             // Kept by another node only: it runs on, but takes no new work.
             let away = m.kept_at > m.last_report && now.since(m.last_report) > Self::work_silence(site);
-            let late = m.state == MachineState::Booting && now.since(m.since) > Micros::from_secs(t.boot_s * 1.6 + 2.0);
+            // Machines that are up show as booting until they report here.
+            let late = m.state == MachineState::Booting
+                && heard
+                && now.since(m.since) > Micros::from_secs(t.boot_s * 1.6 + 2.0);
             let usable = m.state != MachineState::Doomed
                 && m.taken_at.is_none()
                 && now >= m.doubted_until
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -34,11 +34,15 @@
             Expect::LeaseKills(most) => world.rules.lease_kills <= *most,
             Expect::Stops(most) => world.rules.stops <= *most,
             Expect::Terms(least) => world.last_term() >= *least,
+            Expect::RentedInAll(most) => world.cloud.rented_in_all() <= *most,
             Expect::Changes(most) => world.store.changes <= *most,
             Expect::CloudCalls(most) => world.cloud.calls <= *most,
         };
         if !good {
-            wrong.push(format!("expected {expect:?}"));
+            let counted = (world.store.changes, world.cloud.calls, world.cloud.rented_in_all());
+            wrong.push(format!(
+                "expected {expect:?}; changes, calls, machines rented: {counted:?}"
+            ));
         }
     }
     wrong
--- a/tests/sim/cloud.rs
+++ b/tests/sim/cloud.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Machines ever rented.
+    pub fn rented_in_all(&self) -> usize {
+        self.machines.len()
+    }
+
     /// Machines that are paid for.
     pub fn rented(&self) -> usize {
         self.machines.values().filter(|m| m.gone.is_none()).count()
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -55,6 +55,8 @@
     Terms(u64),
     /// Changes made in the state service.
     Changes(u64),
+    /// Machines ever rented.
+    RentedInAll(usize),
     /// Calls made to the cloud.
     CloudCalls(u64),
 }
@@ -309,6 +311,7 @@
                     "lease-kills-at-most" => Expect::LeaseKills(number(2)? as usize),
                     "stops-at-most" => Expect::Stops(number(2)? as usize),
                     "terms-at-least" => Expect::Terms(number(2)?),
+                    "rented-in-all-at-most" => Expect::RentedInAll(number(2)? as usize),
                     "changes-at-most" => Expect::Changes(number(2)?),
                     "cloud-calls-at-most" => Expect::CloudCalls(number(2)?),
                     other => return Err(format!("unknown expectation {other}")),
