A controller that stood still takes nothing back; dead links are noticed

Ruled out: processor share, reading the book, sockets. Now: a lease is not used while another leads; frames are acknowledged; after a standstill the lease is confirmed first, what was queued or decided before is not sent, and silence counts from the waking.

--- a/src/coordination/book.rs
+++ b/src/coordination/book.rs
@@ -304,6 +304,9 @@
     pub incarnation: u64,
     pub term: u64,
     pub began: Micros,
+    /// Since when this leader hears others without a break: silence counts from
+    /// here at the earliest.
+    pub listens_since: Micros,
     pub jobs: BTreeMap<JobId, Job>,
     pub machines: BTreeMap<MachineId, Machine>,
     /// Machines proven gone; their late reports and listings mean nothing.
@@ -352,6 +355,7 @@
             incarnation,
             term,
             began: now,
+            listens_since: now,
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             gone: BTreeSet::new(),
--- a/src/coordination/commit.rs
+++ b/src/coordination/commit.rs
@@ -7,7 +7,7 @@
 //! written again with later ones until nothing is left there; then the keys of
 //! those pages are used anew.
 
-use super::book::{Chunk, EarlyReport, Job, Leader, Machine, MachineState, Placement, Stage, TaskState};
+use super::book::{Chunk, Job, Leader, Machine, MachineState, Placement, Stage, TaskState};
 use super::leadership::Leadership;
 use super::store_queue::Urgency;
 use super::{Core, JobId, Shared, Site, Wait};
@@ -1078,13 +1078,7 @@
                 if leader.loaded_rows(&wait, answer) {
                     leader.chunk_tasks = records::chunk_tasks(self.site.settings.params.state.value_kb);
                     leader.finish_loading(sh);
-                    let early = std::mem::take(&mut leader.early_reports);
-                    for (from, report, _) in early {
-                        match from {
-                            EarlyReport::Worker(id) => self.on_report(id, report),
-                            EarlyReport::Peer(node, id) => self.answer_forward(node, id, report),
-                        }
-                    }
+                    self.take_early_reports();
                 }
             }
             LeaderWait::Care => {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -399,7 +399,7 @@
             }
         };
         let up = self.machines.values().filter(|m| m.state == MachineState::Up).count();
-        let quiet = |m: &Machine| now.since(m.last_report.max(m.kept_at).max(self.began)) > silent;
+        let quiet = |m: &Machine| now.since(m.last_report.max(m.kept_at).max(self.listens_since)) > silent;
         let quiet_count = self
             .machines
             .values()
@@ -419,14 +419,14 @@
         for m in self.machines.values_mut().filter(|m| m.state != MachineState::Doomed) {
             // What another node keeps runs on, but nothing that ends there can be
             // recorded: a short cut is sat out, a long one is not.
-            let sat_out = now.since(m.last_report.max(self.began)) < KEPT_LIMIT;
+            let sat_out = now.since(m.last_report.max(self.listens_since)) < KEPT_LIMIT;
             let kept_at = if sat_out { m.kept_at } else { Micros::ZERO };
-            let unheard = now.since(m.last_report.max(kept_at).max(self.began));
+            let unheard = now.since(m.last_report.max(kept_at).max(self.listens_since));
             let boot = site.catalogue.get(&m.machine_type).map_or(60.0, |t| t.boot_s);
             let why = match m.state {
                 MachineState::Booting if m.tasks.is_empty() => {
                     // To a new leader all machines are booting until they report.
-                    let heard = now.since(self.began) > silent;
+                    let heard = now.since(self.listens_since) > silent;
                     let late = now.since(m.since) > Micros::from_secs(boot * 2.2 + 5.0);
                     (late && heard).then_some("never came up")
                 }
--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -78,6 +78,12 @@
     want_raise: bool,
     elect_at: Option<Micros>,
     last_raise: Micros,
+    /// Whether this process has led: its own old term then says nothing about
+    /// an earlier life.
+    has_led: bool,
+    /// The process stood still for so long that its lease may have ended:
+    /// nothing is done as the leader until a renewal sent since then holds.
+    doubts_since: Option<Micros>,
 }
 
 impl Leadership {
@@ -103,6 +109,8 @@
             want_raise: false,
             elect_at: None,
             last_raise: Micros::ZERO,
+            has_led: false,
+            doubts_since: None,
         }
     }
 
@@ -154,6 +162,28 @@
         self.role == Role::Leader && now.since(self.lease_at) < self.ttl
     }
 
+    /// Whether this node leads as far as it may tell: after a standstill that
+    /// has yet to be confirmed.
+    pub fn in_doubt(&self) -> bool {
+        self.doubts_since.is_some()
+    }
+
+    /// This process did nothing for a while, its clocks running on. A leader
+    /// asks for its lease before it does anything else.
+    pub fn stood_still(&mut self, now: Micros) {
+        self.elect_at = None;
+        if self.role == Role::Leader && now.since(self.lease_at) >= Micros(self.ttl.0 * 4 / 5) {
+            self.doubts_since = Some(now);
+            self.next_renew = now;
+        }
+    }
+
+    /// Whether another node leads as far as known here: then nothing is taken.
+    fn is_led_by_other(&self) -> bool {
+        let other = self.current.as_ref().is_some_and(|(t, _)| t.leader != self.node);
+        self.role == Role::Follower && self.live.is_some() && other
+    }
+
     pub fn start(&mut self, sh: &mut Shared) {
         let request = StoreRequest::List {
             prefix: keys::TERM.into(),
@@ -165,8 +195,10 @@
 
     /// Asks for a higher term with everything kept: proves to workers, by their
     /// fence, that nothing sent under the old one can still be executed.
-    pub fn raise(&mut self, sh: &mut Shared) {
-        if self.role == Role::Leader && !self.taking && sh.now.since(self.last_raise) > Micros::from_secs(5.0) {
+    pub fn raise(&mut self, sh: &mut Shared, why: &str) {
+        let due = sh.now.since(self.last_raise) > Micros::from_secs(5.0);
+        if self.role == Role::Leader && !self.taking && !self.want_raise && due {
+            tracing::info!(why, "raising the term");
             self.last_raise = sh.now;
             self.want_raise = true;
         }
@@ -294,7 +326,13 @@
                     return;
                 }
                 match answer {
-                    StoreAnswer::Lease(_) | StoreAnswer::Committed { .. } => self.lead.lease_at = sent,
+                    StoreAnswer::Lease(_) | StoreAnswer::Committed { .. } => {
+                        self.lead.lease_at = self.lead.lease_at.max(sent);
+                        if self.lead.doubts_since.is_some_and(|at| sent >= at) {
+                            self.lead.doubts_since = None;
+                            self.take_early_reports();
+                        }
+                    }
                     StoreAnswer::NoLease => {
                         // Our lease ended. Nobody may have noticed: raising our
                         // own term by compare-and-set settles it either way.
@@ -369,6 +407,7 @@
             tracing::warn!(why, term = self.lead.term(), "no longer the leader");
         }
         self.lead.role = Role::Follower;
+        self.lead.doubts_since = None;
         self.lead.lease = None;
         self.lead.want_raise = false;
         if let Some(leader) = self.leader.take() {
@@ -409,7 +448,8 @@
             .lead
             .current
             .as_ref()
-            .is_some_and(|(t, _)| t.leader == self.lead.node);
+            .is_some_and(|(t, _)| t.leader == self.lead.node)
+            && !self.lead.has_led;
         if self.lead.live.is_some() && !own {
             self.lead.elect_at = None;
             return;
@@ -456,6 +496,12 @@
         if self.lead.taking {
             return;
         }
+        // The lease was asked for when nobody led. A node that stood still
+        // meanwhile would take the lead from the one that has taken over.
+        if self.lead.is_led_by_other() {
+            self.lead.elect_at = None;
+            return;
+        }
         self.lead.taking = true;
         self.lead.want_raise = false;
         let term = Term {
@@ -504,12 +550,17 @@
                 self.lead.current = Some((term, revision));
                 self.lead.live = Some((self.lead.node.clone(), revision));
                 self.lead.role = Role::Leader;
+                self.lead.has_led = true;
                 self.lead.elect_at = None;
                 self.lead.lease = Some(lease);
                 if raised {
                     if let Some(leader) = self.leader.as_mut() {
                         leader.term_raised(self.lead.term());
                     }
+                    // A compare-and-set from the own term: nobody led meanwhile.
+                    if self.lead.doubts_since.take().is_some() {
+                        self.take_early_reports();
+                    }
                 } else {
                     let incarnation = self.sh.id();
                     self.leader = Some(Leader::new(incarnation, self.lead.term(), now));
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -27,6 +27,10 @@
 use store_queue::{StoreQueue, Urgency};
 use workers::Caretaker;
 
+/// A controller that has done nothing for this long, though it looks at its
+/// clocks every few milliseconds, stood still. What it had queued is old.
+const STANDSTILL: Micros = Micros::from_millis(900);
+
 /// A job's id.
 pub type JobId = Rc<str>;
 
@@ -223,6 +227,8 @@
     next_alive: Micros,
     started: bool,
     next_log: Micros,
+    /// When the last batch was worked through.
+    last_batch: Micros,
 }
 
 impl Core {
@@ -252,6 +258,7 @@
             next_alive: now,
             started: false,
             next_log: now,
+            last_batch: now,
         };
         core.set_rates();
         core
@@ -283,16 +290,35 @@
             self.started = true;
             self.lead.start(&mut self.sh);
         }
+        let still = self.sh.now.since(self.last_batch);
+        self.last_batch = self.sh.now;
+        if still > STANDSTILL {
+            self.stood_still(still);
+        }
         for command in batch {
             self.one(command);
         }
         self.tick();
+        for wait in self.sh.store.expire(self.sh.now) {
+            self.on_store_answer(wait, StoreAnswer::Refused);
+        }
         for (id, request, timeout) in self.sh.store.pump(self.sh.now) {
             self.sh.out.push(Effect::Store { id, request, timeout });
         }
         std::mem::take(&mut self.sh.out)
     }
 
+    /// The process did nothing for a while. Whatever came due meanwhile says
+    /// nothing about others: they get the time to be heard first.
+    fn stood_still(&mut self, still: Micros) {
+        tracing::warn!(still_s = still.secs(), "this controller stood still");
+        let now = self.sh.now;
+        self.lead.stood_still(now);
+        if let Some(leader) = self.leader.as_mut() {
+            leader.listens_since = now;
+        }
+    }
+
     fn one(&mut self, command: Command) {
         match command {
             Command::User { id, request } => self.on_user(id, request),
@@ -300,15 +326,8 @@
             Command::Store { id, answer } => {
                 let refused = matches!(answer, StoreAnswer::Refused);
                 self.desk.note_health(self.sh.now, &answer);
-                match self.sh.store.answered(id, refused, self.sh.now) {
-                    Some(Wait::Lead(wait)) => self.on_lead(wait, answer),
-                    Some(Wait::Desk(wait)) => self.desk.on_store(&mut self.sh, &self.site, wait, answer),
-                    Some(Wait::Leader(incarnation, wait)) => {
-                        if self.leader.as_ref().is_some_and(|l| l.incarnation == incarnation) {
-                            self.on_leader_store(wait, answer);
-                        }
-                    }
-                    None => {}
+                if let Some(wait) = self.sh.store.answered(id, refused, self.sh.now) {
+                    self.on_store_answer(wait, answer);
                 }
             }
             Command::Cloud { id, answer } => self.on_cloud(id, answer),
@@ -321,6 +340,18 @@
         }
     }
 
+    fn on_store_answer(&mut self, wait: Wait, answer: StoreAnswer) {
+        match wait {
+            Wait::Lead(wait) => self.on_lead(wait, answer),
+            Wait::Desk(wait) => self.desk.on_store(&mut self.sh, &self.site, wait, answer),
+            Wait::Leader(incarnation, wait) => {
+                if self.leader.as_ref().is_some_and(|l| l.incarnation == incarnation) {
+                    self.on_leader_store(wait, answer);
+                }
+            }
+        }
+    }
+
     fn on_user(&mut self, id: u64, request: UserRequest) {
         match request {
             UserRequest::Ready => {
@@ -432,6 +463,10 @@
             leader.load(&mut self.sh);
             return;
         }
+        // After a standstill, another node may lead by now.
+        if self.lead.in_doubt() {
+            return;
+        }
         let sure = self.lead.is_sure(self.sh.now);
         leader.tick_machines(&mut self.sh, &self.site, sure);
         leader.schedule(&mut self.sh, &self.site);
@@ -442,10 +477,7 @@
         }
         leader.pump_commit(&mut self.sh, &self.site, &self.lead);
         if let Some(why) = leader.wants_new_term(self.sh.now) {
-            if self.lead.role() == Role::Leader {
-                tracing::info!(why, "raising the term");
-                self.lead.raise(&mut self.sh);
-            }
+            self.lead.raise(&mut self.sh, why);
         }
         leader.flush_direct(&mut self.sh, &self.lead);
     }
--- a/src/coordination/store_queue.rs
+++ b/src/coordination/store_queue.rs
@@ -27,8 +27,14 @@
     request: StoreRequest,
     wait: W,
     timeout: Micros,
+    /// When it was queued, or was to be.
+    at: Option<Micros>,
 }
 
+/// What has waited here for longer is not sent any more: whoever wanted it has
+/// given up, or decides anew.
+const TOO_OLD: Micros = Micros::from_millis(4000);
+
 /// The queue; `W` says what a request's answer is for.
 pub struct StoreQueue<W> {
     requests: Bucket,
@@ -102,14 +108,29 @@
 
     /// Queues a request.
     pub fn push(&mut self, urgency: Urgency, request: StoreRequest, wait: W, timeout: Micros) {
-        self.queues[urgency as usize].push_back(Queued { request, wait, timeout });
+        self.queues[urgency as usize].push_back(Queued {
+            request,
+            wait,
+            timeout,
+            at: None,
+        });
     }
 
     /// Queues a request for later.
     pub fn push_at(&mut self, at: Micros, urgency: Urgency, request: StoreRequest, wait: W, timeout: Micros) {
         self.next += 1;
-        self.delayed
-            .insert((at, self.next), (urgency, Queued { request, wait, timeout }));
+        self.delayed.insert(
+            (at, self.next),
+            (
+                urgency,
+                Queued {
+                    request,
+                    wait,
+                    timeout,
+                    at: None,
+                },
+            ),
+        );
     }
 
     /// How many requests of users wait here; refusals are decided by it.
@@ -122,6 +143,23 @@
         self.writes.allows(changes, RESERVE[urgency as usize], now)
     }
 
+    /// Requests that have waited for too long, as they do while the process
+    /// stands still: they were never sent.
+    pub fn expire(&mut self, now: Micros) -> Vec<W> {
+        let mut old = vec![];
+        for queue in &mut self.queues {
+            let mut at = 0;
+            while at < queue.len() {
+                if now.since(*queue[at].at.get_or_insert(now)) > TOO_OLD {
+                    old.extend(queue.remove(at).map(|q| q.wait));
+                } else {
+                    at += 1;
+                }
+            }
+        }
+        old
+    }
+
     /// The requests that may go out now, with their ids.
     pub fn pump(&mut self, now: Micros) -> Vec<(u64, StoreRequest, Micros)> {
         self.grow(now);
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -564,8 +564,9 @@
             let Some(leader) = self.leader.as_mut() else {
                 return self.sh.reply(id, 503, vec![], Some(1));
             };
-            if !leader.is_loaded() {
-                // Answered as soon as the book is read, which takes moments.
+            if !leader.is_loaded() || self.lead.in_doubt() {
+                // Answered as soon as the book is read, or the lease confirmed,
+                // which takes moments.
                 if leader.early_reports.len() < 500 {
                     leader.early_reports.push((EarlyReport::Worker(id), report, now));
                 } else {
@@ -647,7 +648,7 @@
         let Ok(report) = from_cbor::<Report>(body) else { return };
         let now = self.sh.now;
         match self.leader.as_mut() {
-            Some(leader) if !leader.is_loaded() => {
+            Some(leader) if !leader.is_loaded() || self.lead.in_doubt() => {
                 if leader.early_reports.len() < 500 {
                     leader.early_reports.push((EarlyReport::Peer(node, id), report, now));
                 }
@@ -658,6 +659,19 @@
         }
     }
 
+    /// Answers the reports that came before this leader could.
+    pub(super) fn take_early_reports(&mut self) {
+        let Some(leader) = self.leader.as_mut().filter(|l| l.is_loaded()) else {
+            return;
+        };
+        for (from, report, _) in std::mem::take(&mut leader.early_reports) {
+            match from {
+                EarlyReport::Worker(id) => self.on_report(id, report),
+                EarlyReport::Peer(node, id) => self.answer_forward(node, id, report),
+            }
+        }
+    }
+
     pub(super) fn answer_forward(&mut self, node: String, id: u64, report: Report) {
         let now = self.sh.now;
         let current = now.since(self.lead.fresh()) < self.site.knowledge_limit();
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -26,10 +26,13 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Commands taken from the queue at once.
 const BATCH: usize = 256;
+/// What was decided longer ago than this is not done any more: another node may
+/// lead by now, a job may be cancelled, whoever asked may have given up.
+const DECIDED: Micros = Micros::from_millis(800);
 /// Machines whose connections are kept.
 const WORKERS: usize = 256;
 
-type Replies = Rc<RefCell<HashMap<u64, Sender<Outgoing>>>>;
+type Replies = Rc<RefCell<HashMap<u64, Sender<(Instant, Outgoing)>>>>;
 
 struct Process {
     ex: Rc<LocalExecutor<'static>>,
@@ -192,6 +195,15 @@
     }
 }
 
+/// The answer of a node that can't give one just now.
+fn come_back() -> Outgoing {
+    Outgoing {
+        status: 503,
+        body: vec![],
+        retry_after_s: Some(1),
+    }
+}
+
 impl Process {
     fn worker(&self, addr: &str) -> Option<Rc<Client>> {
         let mut workers = self.workers.borrow_mut();
@@ -210,7 +222,7 @@
         match effect {
             Effect::Reply { id, answer } => {
                 if let Some(reply) = self.replies.borrow_mut().remove(&id) {
-                    reply.try_send(answer).ok();
+                    reply.try_send((Instant::now(), answer)).ok();
                 }
             }
             Effect::Store { id, request, timeout } => {
@@ -249,6 +261,30 @@
         }
     }
 
+    /// Says of an effect that it was not performed.
+    fn withdraw(&self, effect: Effect) {
+        let command = match effect {
+            Effect::Reply { id, answer } => {
+                let answer = if answer.status < 300 { come_back() } else { answer };
+                return self.perform(Effect::Reply { id, answer });
+            }
+            Effect::Store { id, .. } => Command::Store {
+                id,
+                answer: StoreAnswer::Refused,
+            },
+            Effect::Cloud { id, .. } => Command::Cloud {
+                id,
+                answer: CloudAnswer::Refused,
+            },
+            Effect::Direct { id, .. } => Command::Direct {
+                id,
+                answer: DirectAnswer::NotSent,
+            },
+            Effect::Peer { .. } => return,
+        };
+        self.spawn(async move { command });
+    }
+
     fn spawn(&self, work: impl std::future::Future<Output = Command> + 'static) {
         let commands = self.commands.clone();
         self.ex
@@ -374,11 +410,13 @@
                 Route::Report(report) => Command::Report { id, report },
             };
             commands.send(command).await.ok();
-            answer.recv().await.unwrap_or(Outgoing {
-                status: 503,
-                body: vec![],
-                retry_after_s: Some(1),
-            })
+            match answer.recv().await {
+                // The process may have stood still since the answer was given.
+                Ok((given, answer)) if given.elapsed() < Duration::from_micros(DECIDED.0) || answer.status >= 300 => {
+                    answer
+                }
+                _ => come_back(),
+            }
         }
     };
     let public = settings.public_addr.parse().map_err(|_| "public_addr".to_string())?;
@@ -435,8 +473,14 @@
                 Err(_) => break,
             }
         }
-        for effect in core.handle(now(), batch) {
-            process.perform(effect);
+        let decided = now();
+        for effect in core.handle(decided, batch) {
+            // The process may have stood still between the decision and here.
+            if now().since(decided) > DECIDED {
+                process.withdraw(effect);
+            } else {
+                process.perform(effect);
+            }
         }
         if let Some(why) = failed.borrow_mut().take() {
             return Err(why);
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -8,7 +8,7 @@
 use std::cell::RefCell;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What came of a call.
 #[derive(Clone, Debug, PartialEq)]
@@ -64,6 +64,10 @@
     /// Makes a call; `path` begins with a slash and may carry a query.
     pub async fn call(&self, method: Method, path: &str, body: Option<Vec<u8>>, timeout: Micros) -> CallResult {
         let within = Duration::from_micros(timeout.0);
+        let began = Instant::now();
+        // A process that stood still while it connected must not send what it
+        // has long given up.
+        let too_late = || began.elapsed() > within;
         let Ok(url) = self.url.join(path) else {
             return CallResult::NotSent;
         };
@@ -85,12 +89,16 @@
                     None => return CallResult::NotSent,
                 },
             };
+            if too_late() {
+                return CallResult::NotSent;
+            }
             let mut result = Self::exchange(stream.clone(), build()).await;
             let mut stream = stream;
             if result.is_none() && reused && method == Method::Get {
                 // A kept connection may have been closed by the other side; a
                 // read can be asked again without harm.
                 match self.connect(within.min(Duration::from_secs(1))).await {
+                    Some(_) if too_late() => return CallResult::NotSent,
                     Some(fresh) => {
                         stream = fresh;
                         result = Self::exchange(stream.clone(), build()).await;
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -5,12 +5,15 @@
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const FRAME_LIMIT: usize = 256 * 1024;
 const CONNECT: Duration = Duration::from_millis(800);
 const WRITE: Duration = Duration::from_secs(2);
+/// A frame that is not acknowledged by then was sent over a dead link.
+const ACKED: Duration = Duration::from_millis(1500);
 const QUIET: Duration = Duration::from_secs(10);
 
 async fn within<T>(limit: Duration, work: impl std::future::Future<Output = Option<T>>) -> Option<T> {
@@ -21,28 +24,87 @@
     .await
 }
 
+/// What happened on the sending side of a link.
+enum Turn {
+    Message(PeerMessage),
+    /// The other side has taken in this many frames more.
+    Taken(usize),
+    /// The link is dead, or nobody queues messages any more.
+    Closed,
+    /// Nothing for a while.
+    Quiet,
+}
+
 /// Sends queued messages to one controller, for ever. Messages are lost while
 /// the link is down: every one of them is either repeated or has a time limit.
+///
+/// The other side acknowledges every frame with a byte. A connection that the
+/// other side has given up, as it does when this process stands still for a
+/// while, would take in writes without an error for ever.
 pub async fn send(addr: SocketAddr, queue: Receiver<PeerMessage>) {
-    let mut stream: Option<Async<TcpStream>> = None;
-    while let Ok(message) = queue.recv().await {
-        if stream.is_none() {
-            stream = within(CONNECT, async { Async::<TcpStream>::connect(addr).await.ok() }).await;
-            if let Some(s) = &stream {
-                s.get_ref().set_nodelay(true).ok();
-            } else {
-                // Whatever has queued up meanwhile is out of date.
-                while queue.try_recv().is_ok() {}
-                Timer::after(Duration::from_millis(200)).await;
-                continue;
+    let mut link: Option<Async<TcpStream>> = None;
+    let mut unacked: VecDeque<Instant> = VecDeque::new();
+    loop {
+        let mut acks = [0u8; 256];
+        let turn = {
+            let next = async { queue.recv().await.map_or(Turn::Closed, Turn::Message) };
+            let quiet = async {
+                Timer::after(ACKED).await;
+                Turn::Quiet
+            };
+            match link.as_ref() {
+                Some(stream) => {
+                    let taken = async {
+                        match (&*stream).read(&mut acks).await {
+                            Ok(n) if n > 0 => Turn::Taken(n),
+                            _ => Turn::Closed,
+                        }
+                    };
+                    taken.or(next).or(quiet).await
+                }
+                None => next.await,
+            }
+        };
+        let message = match turn {
+            Turn::Message(message) => Some(message),
+            Turn::Taken(n) => {
+                unacked.drain(..n.min(unacked.len()));
+                None
+            }
+            Turn::Closed if link.is_none() => return,
+            Turn::Closed => {
+                link = None;
+                None
+            }
+            Turn::Quiet => None,
+        };
+        if unacked.front().is_some_and(|at| at.elapsed() > ACKED) {
+            link = None;
+        }
+        let Some(message) = message else { continue };
+        if link.is_none() {
+            unacked.clear();
+            link = within(CONNECT, async { Async::<TcpStream>::connect(addr).await.ok() }).await;
+            match &link {
+                Some(s) => {
+                    s.get_ref().set_nodelay(true).ok();
+                }
+                None => {
+                    // Whatever has queued up meanwhile is out of date.
+                    while queue.try_recv().is_ok() {}
+                    Timer::after(Duration::from_millis(200)).await;
+                    continue;
+                }
             }
         }
         let body = bitcode::encode(&message);
         let mut frame = (body.len() as u32).to_be_bytes().to_vec();
         frame.extend_from_slice(&body);
-        if let Some(s) = stream.as_mut() {
+        if let Some(s) = link.as_mut() {
             if within(WRITE, async { s.write_all(&frame).await.ok() }).await.is_none() {
-                stream = None;
+                link = None;
+            } else {
+                unacked.push_back(Instant::now());
             }
         }
     }
@@ -50,6 +112,7 @@
 
 async fn receive(stream: TcpStream, out: Sender<PeerMessage>) -> Option<()> {
     let mut stream = Async::new(stream).ok()?;
+    stream.get_ref().set_nodelay(true).ok();
     loop {
         let mut length = [0u8; 4];
         within(QUIET, async { stream.read_exact(&mut length).await.ok() }).await?;
@@ -66,6 +129,7 @@
                 return None;
             }
         }
+        within(WRITE, async { stream.write_all(&[1]).await.ok() }).await?;
     }
 }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -33,6 +33,7 @@
             Expect::Rented(most) => world.cloud.rented() <= *most,
             Expect::LeaseKills(most) => world.rules.lease_kills <= *most,
             Expect::Stops(most) => world.rules.stops <= *most,
+            Expect::TermsAtMost(most) => world.last_term() <= *most,
             Expect::Terms(least) => world.last_term() >= *least,
             Expect::RentedInAll(most) => world.cloud.rented_in_all() <= *most,
             Expect::Changes(most) => world.store.changes <= *most,
--- a/tests/sim/cloud.rs
+++ b/tests/sim/cloud.rs
@@ -72,10 +72,11 @@
             },
         );
         let t = c.types.iter().find(|t| t.name == machine_type).cloned();
-        let dead = c.dead_boots > 0;
+        let factor = self.broken.boots.values().copied().reduce(f64::max);
+        let dead = c.dead_boots > 0 || factor == Some(0.0);
         c.dead_boots = c.dead_boots.saturating_sub(1);
         if let (Some(t), false) = (t, dead) {
-            let boot = (t.boot_s * (0.6 + 0.9 * self.rng.f64()) * SEC as f64) as u64;
+            let boot = (t.boot_s * (0.6 + 0.9 * self.rng.f64()) * factor.unwrap_or(1.0) * SEC as f64) as u64;
             let addr = format!("10.1.{}.{}:9000", self.cloud.next / 250, self.cloud.next % 250 + 1);
             self.workers
                 .insert(name.clone(), Worker::new(&name, &addr, &t, zone, spot));
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -11,6 +11,7 @@
 
 use glenhaven::coordination::{Command, Core, Effect};
 use glenhaven::protocol::from_cbor;
+use glenhaven::protocol::store::StoreRequest;
 use glenhaven::protocol::workers::{Elsewhere, Orders, Report};
 use glenhaven::settings::Settings;
 use glenhaven::time::Micros;
@@ -52,6 +53,8 @@
     pub core: Option<Core>,
     pub life: u64,
     pub settings: Settings,
+    /// What has come while it stands still.
+    pub inbox: Vec<Command>,
 }
 
 /// What is broken just now, by the step that broke it.
@@ -67,6 +70,30 @@
     /// Transactions whose answers are lost, and how late they are executed.
     pub lose_txn: BTreeMap<usize, u64>,
     pub hold_direct: BTreeMap<usize, u64>,
+    /// Controllers that stand still, their clocks running on.
+    pub frozen: BTreeMap<usize, usize>,
+    /// Controllers cut off from these: `all`, `state`, `workers` or `peers`.
+    pub node_cut: BTreeMap<usize, (usize, String)>,
+    /// Boots take so many times as long; 0: machines never come up.
+    pub boots: BTreeMap<usize, f64>,
+    /// Users ask so many times as often.
+    pub storm: BTreeMap<usize, u64>,
+    /// The next controller that asks for a lease stands still for so long, by
+    /// the step that says so.
+    pub trap: Option<(usize, u64)>,
+}
+
+impl Broken {
+    /// Whether this controller is cut off from these.
+    pub fn cut_off(&self, n: usize, from: &str) -> bool {
+        self.node_cut
+            .values()
+            .any(|(node, what)| *node == n && (what == "all" || what == from))
+    }
+
+    pub fn is_frozen(&self, n: usize) -> bool {
+        self.frozen.values().any(|f| *f == n)
+    }
 }
 
 pub struct World {
@@ -97,6 +124,7 @@
                 core: None,
                 life: 0,
                 settings,
+                inbox: vec![],
             })
             .collect();
         let state = &script.base.params.state;
@@ -149,6 +177,7 @@
 
     pub fn crash_node(&mut self, n: usize) {
         self.nodes[n].core = None;
+        self.nodes[n].inbox.clear();
     }
 
     pub fn leader(&self) -> Option<usize> {
@@ -221,6 +250,7 @@
             return false;
         };
         !self.broken.cut.values().any(|c| c.contains(machine))
+            && !self.broken.cut_off(n, "workers")
             && self.zones_reach(&self.nodes[n].settings.zone, &w.zone)
     }
 
@@ -233,12 +263,24 @@
     }
 
     fn run(&mut self, n: usize, batch: Vec<Command>) {
+        if self.broken.is_frozen(n) {
+            self.nodes[n].inbox.extend(batch);
+            return;
+        }
         let now = Micros(self.now);
         let life = self.nodes[n].life;
         let Some(core) = self.nodes[n].core.as_mut() else {
             return;
         };
         let effects = core.handle(now, batch);
+        let asks =
+            |e: &Effect| matches!(e, Effect::Store { request, .. } if matches!(request, StoreRequest::Grant { .. }));
+        if effects.iter().any(asks) {
+            if let Some((i, lasts)) = self.broken.trap.take() {
+                self.broken.frozen.insert(i, n);
+                self.after(lasts, Ev::Heal(i));
+            }
+        }
         for effect in effects {
             let hop = self.hop();
             match effect {
@@ -248,17 +290,24 @@
                             self.after(hop, Ev::ReportAnswer(name, rid, answer));
                         }
                     }
+                    Some(Origin::User(..)) if self.broken.cut_off(n, "users") => {}
                     Some(Origin::User(job, rid)) => self.after(hop, Ev::UserAnswer(job, rid, answer)),
                     None => {}
                 },
                 Effect::Store { id, request, timeout } => {
                     let answer = glenhaven::protocol::store::StoreAnswer::Unknown;
                     self.after(timeout.0, Ev::Command(n, life, Command::Store { id, answer }));
+                    if self.broken.cut_off(n, "state") {
+                        continue;
+                    }
                     self.after(hop, Ev::Store(n, life, id, request));
                 }
                 Effect::Cloud { id, request, timeout } => {
                     let answer = glenhaven::coordination::CloudAnswer::Unknown;
                     self.after(timeout.0, Ev::Command(n, life, Command::Cloud { id, answer }));
+                    if self.broken.cut_off(n, "cloud") {
+                        continue;
+                    }
                     self.after(hop * 10, Ev::Cloud(n, life, id, request));
                 }
                 Effect::Direct {
@@ -277,7 +326,8 @@
                         continue;
                     };
                     let (a, b) = (&self.nodes[n].settings.zone, &self.nodes[other].settings.zone);
-                    if self.zones_reach(a, b) {
+                    let cut = self.broken.cut_off(n, "peers") || self.broken.cut_off(other, "peers");
+                    if !cut && self.zones_reach(a, b) {
                         let life = self.nodes[other].life;
                         self.after(hop, Ev::Command(other, life, Command::Peer(message)));
                     }
@@ -289,13 +339,18 @@
     fn step(&mut self, i: usize) {
         use script::Act;
         let step = self.script.steps[i].clone();
+        if let Act::FreezeOnGrant = step.act {
+            self.broken.trap = step.lasts.map(|lasts| (i, lasts));
+            return;
+        }
         if let Some(lasts) = step.lasts {
             self.after(lasts, Ev::Heal(i));
         }
         match step.act {
             Act::Submit(spec) => {
                 let id = spec.id.clone();
-                self.users.insert(id.clone(), users::User::new(*spec, step.run_s));
+                self.users
+                    .insert(id.clone(), users::User::new(*spec, step.run_s, step.mistake));
                 self.event(Ev::User(id));
             }
             Act::Abort(job) => {
@@ -390,10 +445,51 @@
                 }
             }
             Act::Ghost => self.ghost_machine(),
+            Act::FreezeOnGrant => {}
+            Act::Freeze(who) => {
+                if let Some(n) = self.which(&who) {
+                    self.broken.frozen.insert(i, n);
+                }
+            }
+            Act::NodeCut(who, from) => {
+                if let Some(n) = self.which(&who) {
+                    self.broken.node_cut.insert(i, (n, from));
+                }
+            }
+            Act::Boots(factor) => {
+                self.broken.boots.insert(i, factor);
+            }
+            Act::Storm(factor) => {
+                self.broken.storm.insert(i, factor);
+                let all: Vec<String> = self.users.keys().cloned().collect();
+                for job in all {
+                    self.event(Ev::User(job));
+                }
+            }
+        }
+    }
+
+    /// The controller that a script means: a number, or `leader`.
+    fn which(&self, who: &str) -> Option<usize> {
+        match who {
+            "leader" => self.leader(),
+            n => n.parse().ok(),
         }
     }
 
     fn heal(&mut self, i: usize) {
+        if let Some(n) = self.broken.frozen.remove(&i) {
+            // Everything that came meanwhile is there at once, each message on a
+            // connection of its own: they are read in any order.
+            let mut inbox = std::mem::take(&mut self.nodes[n].inbox);
+            self.rng.shuffle(&mut inbox);
+            self.nodes[n].inbox = inbox;
+            while !self.broken.is_frozen(n) && !self.nodes[n].inbox.is_empty() {
+                let most = self.nodes[n].inbox.len().min(256);
+                let batch: Vec<Command> = self.nodes[n].inbox.drain(..most).collect();
+                self.run(n, batch);
+            }
+        }
         let b = &mut self.broken;
         b.state_out.remove(&i);
         b.state_deaf.remove(&i);
@@ -402,6 +498,9 @@
         b.zones.remove(&i);
         b.lose_txn.remove(&i);
         b.hold_direct.remove(&i);
+        b.node_cut.remove(&i);
+        b.boots.remove(&i);
+        b.storm.remove(&i);
         if self.broken.state_out.is_empty() {
             self.store.outage(false, self.now);
         }
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -31,6 +31,16 @@
     Slow(usize),
     /// A machine that nobody expects.
     Ghost,
+    /// A controller stands still, its clocks running on.
+    Freeze(String),
+    /// The next controller that asks for a lease stands still.
+    FreezeOnGrant,
+    /// A controller is cut off from `all`, `state`, `workers` or `peers`.
+    NodeCut(String, String),
+    /// Machines rented now boot so many times as long; 0: never.
+    Boots(f64),
+    /// Users ask so many times as often.
+    Storm(u64),
 }
 
 #[derive(Clone, Debug)]
@@ -39,6 +49,8 @@
     pub lasts: Option<u64>,
     pub act: Act,
     pub run_s: f64,
+    /// The job fails on every machine.
+    pub mistake: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -53,6 +65,7 @@
     /// Running tasks stopped without their job being cancelled.
     Stops(usize),
     Terms(u64),
+    TermsAtMost(u64),
     /// Changes made in the state service.
     Changes(u64),
     /// Machines ever rented.
@@ -280,6 +293,11 @@
                     "faulty" => Act::Faulty(count()?),
                     "slow" => Act::Slow(count()?),
                     "ghost" => Act::Ghost,
+                    "freeze-on-grant" => Act::FreezeOnGrant,
+                    "freeze" => Act::Freeze(w.word(3)?.into()),
+                    "node-cut" => Act::NodeCut(w.word(3)?.into(), w.word(4)?.into()),
+                    "boots" => Act::Boots(w.word(3)?.parse().map_err(|_| "factor")?),
+                    "storm" => Act::Storm(w.word(3)?.parse().map_err(|_| "factor")?),
                     other => return Err(format!("unknown act {other}")),
                 };
                 // `copies=n`: jobs with the following numbers as well.
@@ -289,7 +307,14 @@
                         let number: u32 = spec.id[4..].parse().map_err(|_| "a number is missing")?;
                         spec.id = format!("run-{:06}", number + copy);
                     }
-                    self.steps.push(Step { at, lasts, act, run_s });
+                    let mistake = w.has("mistake");
+                    self.steps.push(Step {
+                        at,
+                        lasts,
+                        act,
+                        run_s,
+                        mistake,
+                    });
                 }
             }
             "expect" => {
@@ -310,6 +335,7 @@
                     "rented-at-most" => Expect::Rented(number(2)? as usize),
                     "lease-kills-at-most" => Expect::LeaseKills(number(2)? as usize),
                     "stops-at-most" => Expect::Stops(number(2)? as usize),
+                    "terms-at-most" => Expect::TermsAtMost(number(2)?),
                     "terms-at-least" => Expect::Terms(number(2)?),
                     "rented-in-all-at-most" => Expect::RentedInAll(number(2)? as usize),
                     "changes-at-most" => Expect::Changes(number(2)?),
--- a/tests/sim/users.rs
+++ b/tests/sim/users.rs
@@ -16,6 +16,8 @@
 pub struct User {
     pub spec: Spec,
     pub run: u64,
+    /// It fails on every machine.
+    pub mistake: bool,
     /// The job's description is uploaded with its first submission.
     pub submitted: bool,
     pub wants_abort: bool,
@@ -31,8 +33,9 @@
 }
 
 impl User {
-    pub fn new(spec: Spec, run_s: f64) -> User {
+    pub fn new(spec: Spec, run_s: f64, mistake: bool) -> User {
         User {
+            mistake,
             spec,
             run: (run_s * SEC as f64) as u64,
             submitted: false,
@@ -56,7 +59,7 @@
         spec.image = "none".into();
         User {
             stranger: true,
-            ..User::new(spec, 1.0)
+            ..User::new(spec, 1.0, false)
         }
     }
 }
@@ -65,7 +68,7 @@
     /// Sends a user's next request, unless one is under way.
     pub fn user_acts(&mut self, job: &str) {
         let live: Vec<usize> = (0..self.nodes.len())
-            .filter(|n| self.nodes[*n].core.is_some())
+            .filter(|n| self.nodes[*n].core.is_some() && !self.broken.cut_off(*n, "users"))
             .collect();
         let rid = self.id();
         let pick = if live.is_empty() {
@@ -165,7 +168,7 @@
         let pause = match asked {
             _ if status == 503 => SEC,
             Asked::Submit | Asked::Abort => SEC / 10,
-            Asked::Poll => 5 * SEC,
+            Asked::Poll => 5 * SEC / self.broken.storm.values().copied().max().unwrap_or(1),
         };
         if user.refused.is_none() {
             self.after(pause, Ev::User(job.into()));
--- a/tests/sim/workers.rs
+++ b/tests/sim/workers.rs
@@ -192,15 +192,16 @@
                         Some(u) if u.spec.shape == Shape::Array => now + u.run * w.slowness,
                         _ => u64::MAX,
                     };
-                    if w.faulty {
+                    if w.faulty || user.is_some_and(|u| u.mistake) {
                         t.until = now + SEC;
                     }
                 }
                 TaskPhase::Running => {
                     changed = true;
                     t.phase = TaskPhase::Exited;
-                    t.cause = Some(if w.faulty { Cause::Error } else { Cause::Done });
-                    if !w.faulty {
+                    let fails = w.faulty || self.users.get(job).is_some_and(|u| u.mistake);
+                    t.cause = Some(if fails { Cause::Error } else { Cause::Done });
+                    if !fails {
                         self.results.insert(task.clone());
                     }
                 }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -4,6 +4,7 @@
 use async_io::{Async, Timer};
 use ciborium::{cbor, Value};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt, FutureExt};
+use glenhaven::protocol::peer::PeerMessage;
 use std::collections::BTreeMap;
 use std::net::{TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
@@ -461,3 +462,37 @@
     assert!(!missing.status.success());
     std::fs::remove_dir_all(&dir).ok();
 }
+
+/// A link whose other side has given it up takes in writes without an error, as
+/// after a standstill of this process. Without acknowledgements, a controller
+/// would be silent to the others for good.
+#[test]
+fn a_dead_link_is_opened_anew() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (to, queue) = async_channel::bounded(64);
+    std::thread::spawn(move || async_io::block_on(glenhaven::transport::peers::send(addr, queue)));
+    let (opened, links) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        // Held open, never read, never acknowledged.
+        for stream in listener.incoming() {
+            opened.send(stream.unwrap()).ok();
+        }
+    });
+    let mut held = vec![];
+    for _ in 0..60 {
+        to.try_send(PeerMessage::Alive {
+            node: "node-0".into(),
+            term: 1,
+            fresh: true,
+            leads: true,
+        })
+        .ok();
+        held.extend(links.try_recv().ok());
+        if held.len() >= 2 {
+            return;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(100));
+    }
+    panic!("the link was never opened anew");
+}
