Questions are gathered; nodes share the state service's changes by what each needs

Ruled out: the leader's processor share (peak 0.5), the crash at 336 s alone. Now: questions wait up to 100 ms for one compare; each node tells what changes it wants, and the part that the leader leaves is shared by that, a part of it evenly.

--- a/src/coordination/desk.rs
+++ b/src/coordination/desk.rs
@@ -34,6 +34,8 @@
 /// Jobs remembered; older final ones are read again when asked about.
 const CACHE: usize = 20_000;
 const BACKLOG: usize = 400;
+/// How long questions are gathered before one compare answers them.
+const GATHER: Micros = Micros::from_millis(100);
 
 #[derive(Clone, Debug)]
 enum Ask {
@@ -67,6 +69,8 @@
     /// Requests whose job has to be compared or read, by job.
     to_verify: BTreeMap<String, Vec<u64>>,
     verifying: usize,
+    /// When the next compare may go out.
+    next_verify: Micros,
     /// Jobs being read for the sake of a worker's report.
     reading: BTreeSet<String>,
     counts: BTreeMap<String, (u32, u32)>,
@@ -293,8 +297,11 @@
             refuse(sh, id, 503, "the state service does not answer");
         }
         // One compare answers many polls; two in flight keep a slow one from
-        // holding up the rest.
-        while self.verifying < 2 && !self.to_verify.is_empty() {
+        // holding up the rest. Questions are gathered for a moment: a node's
+        // compares are bounded however many users ask, and leave the service's
+        // requests to submissions and starts.
+        while self.verifying < 2 && !self.to_verify.is_empty() && now >= self.next_verify {
+            self.next_verify = now + GATHER;
             let limit = site.settings.params.state.txn_ops * 4;
             let mut batch = vec![];
             while batch.len() < limit {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -31,6 +31,11 @@
 /// clocks every few milliseconds, stood still. What it had queued is old.
 const STANDSTILL: Micros = Micros::from_millis(900);
 
+/// Part of the changes a second that all nodes use together. At the limit, the
+/// service would take the acceptances, one change each, and refuse the leader's
+/// larger transactions time and again.
+const USED: f64 = 0.95;
+
 /// A job's id.
 pub type JobId = Rc<str>;
 
@@ -212,6 +217,8 @@
     fresh: bool,
     term: u64,
     leads: bool,
+    /// Changes a second that it wants to make.
+    wants: f64,
 }
 
 /// The single owner of a controller's state.
@@ -283,6 +290,44 @@
         self.sh.store.set_rates(rps, writes, self.sh.now);
     }
 
+    /// Sets this node's share of the changes that the state service takes, by what
+    /// each node said it wants; returns what this one wants. Users come to the
+    /// nodes unevenly, and the leader does not always need its part. A node that
+    /// is not heard counts as wanting an even part.
+    fn share_changes(&mut self) -> f64 {
+        let now = self.sh.now;
+        let own = self.sh.store.wants(now);
+        let all = self.site.settings.params.state.write_rps * USED;
+        let others = (self.site.nodes() - 1).max(1) as f64;
+        let even = all * 0.5 / others;
+        let heard = |p: &&PeerView| now.since(p.at) < Micros::from_secs(2.5);
+        let peers = &self.site.settings.peers;
+        let views: Vec<&PeerView> = peers
+            .iter()
+            .filter_map(|p| self.peers.get(&p.node))
+            .filter(heard)
+            .collect();
+        let unheard = (peers.len() - views.len()) as f64;
+        let leads = self.lead.role() == Role::Leader;
+        // The leader's transactions are large and come in bursts.
+        let for_leader = |wants: f64| (wants * 1.5 + 2.0).clamp(all * 0.3, all * 0.6);
+        let share = if leads {
+            for_leader(own)
+        } else {
+            let leader = views
+                .iter()
+                .find(|p| p.leads)
+                .map_or(all * 0.5, |p| for_leader(p.wants));
+            let rest = all - leader;
+            let demand: f64 = views.iter().filter(|p| !p.leads).map(|p| p.wants).sum::<f64>() + own + unheard * even;
+            // A part is even, so that a sudden need is met while it is told.
+            let by_demand = if demand > 0.01 { own / demand } else { 1.0 / others };
+            rest * (0.4 / others + 0.6 * by_demand)
+        };
+        self.sh.store.set_write_rate(share, now);
+        own
+    }
+
     /// Works through a batch of commands and says what is to be done.
     pub fn handle(&mut self, now: Micros, batch: Vec<Command>) -> Vec<Effect> {
         self.sh.now = self.sh.now.max(now);
@@ -389,6 +434,7 @@
                 term,
                 fresh,
                 leads,
+                wants,
             } => {
                 if self.site.settings.peers.iter().any(|p| p.node == node) {
                     let view = PeerView {
@@ -396,6 +442,7 @@
                         fresh,
                         term,
                         leads,
+                        wants: f64::from(wants) / 1000.0,
                     };
                     self.peers.insert(node, view);
                 }
@@ -430,6 +477,7 @@
                 term: self.lead.term(),
                 fresh: now.since(self.lead.fresh()) < Micros::from_secs(2.5),
                 leads: self.lead.role() == Role::Leader,
+                wants: (self.share_changes() * 1000.0).min(4e9) as u32,
             };
             for peer in &self.site.settings.peers {
                 self.sh.out.push(Effect::Peer {
--- a/src/coordination/store_queue.rs
+++ b/src/coordination/store_queue.rs
@@ -50,6 +50,11 @@
     most: (f64, f64),
     rates: (f64, f64),
     raised: Micros,
+    /// Changes asked for since the last look, their decayed rate, and when that
+    /// was.
+    asked: f64,
+    wanted: f64,
+    looked: Micros,
 }
 
 /// A rate grows to its most over so many seconds without a refusal.
@@ -77,9 +82,33 @@
             most: (rps, write_rps),
             rates: (rps, write_rps),
             raised: now,
+            asked: 0.0,
+            wanted: 0.0,
+            looked: now,
         }
     }
 
+    /// Changes a second that this node wants to make, with what waits here.
+    pub fn wants(&mut self, now: Micros) -> f64 {
+        let span = now.since(self.looked).secs();
+        if span > 0.0 {
+            let keep = 0.5f64.powf(span / 1.5);
+            self.wanted = self.wanted * keep + self.asked / span.max(0.1) * (1.0 - keep);
+            self.asked = 0.0;
+            self.looked = now;
+        }
+        let waits: f64 = self.queues.iter().flatten().map(|q| changes(&q.request)).sum();
+        self.wanted + waits
+    }
+
+    /// Sets the rate of changes and leaves that of requests.
+    pub fn set_write_rate(&mut self, rate: f64, now: Micros) {
+        self.least.1 = rate;
+        self.most.1 = rate;
+        self.rates.1 = rate;
+        self.writes.set_rate(rate, now);
+    }
+
     /// This node's share of the service's limits: what it always has, and what
     /// it may grow to while the service refuses nothing.
     pub fn set_rates(&mut self, rps: (f64, f64), write_rps: (f64, f64), now: Micros) {
@@ -108,6 +137,7 @@
 
     /// Queues a request.
     pub fn push(&mut self, urgency: Urgency, request: StoreRequest, wait: W, timeout: Micros) {
+        self.asked += changes(&request);
         self.queues[urgency as usize].push_back(Queued {
             request,
             wait,
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -21,6 +21,9 @@
         fresh: bool,
         /// Whether the sender leads this term.
         leads: bool,
+        /// Changes to the state service that it wants to make, a thousand
+        /// seconds' worth.
+        wants: u32,
     },
     /// Display counts that changed, from the leader.
     Progress(Vec<Progress>),
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -486,6 +486,7 @@
             term: 1,
             fresh: true,
             leads: true,
+            wants: 0,
         })
         .ok();
         held.extend(links.try_recv().ok());
