Every controller takes reports; a new leader asks what workers reported last

Ruled out: the leader's processor share; forwarding as it was (reached too late). Now: nodes pass reports on and hand the leader's answer and commands back; workers are spread; silence is judged by the node that heard a machine; last reports are recalled.

--- a/src/coordination/book.rs
+++ b/src/coordination/book.rs
@@ -218,6 +218,8 @@
     pub serial: u64,
     pub fence: u64,
     pub last_report: Micros,
+    /// The controller that passed its last report on; `None`: it came here.
+    pub via: Option<Rc<str>>,
     /// When another node last said that it keeps the machine.
     pub kept_at: Micros,
     /// When the cloud takes it away.
@@ -339,6 +341,8 @@
     pub next_machines: Micros,
     pub next_pace: Micros,
     pub next_care: Micros,
+    /// Controllers that were not heard, and when that was last so.
+    pub lost_nodes: BTreeMap<String, Micros>,
     /// Versions of what other nodes say they keep, as last read.
     pub care: BTreeMap<String, u64>,
 }
@@ -347,6 +351,8 @@
 pub enum EarlyReport {
     Worker(u64),
     Peer(String, u64),
+    /// Nobody: another node told it from memory.
+    Recalled(String),
 }
 
 impl Leader {
@@ -381,6 +387,7 @@
             next_machines: now,
             next_pace: now,
             next_care: now,
+            lost_nodes: BTreeMap::new(),
             care: BTreeMap::new(),
         }
     }
--- a/src/coordination/commit.rs
+++ b/src/coordination/commit.rs
@@ -1208,6 +1208,7 @@
             serial: 0,
             fence: 0,
             last_report: now,
+            via: None,
             kept_at: Micros::ZERO,
             taken_at: None,
             tasks: BTreeSet::new(),
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -10,6 +10,7 @@
 use crate::time::Micros;
 use crate::transport::pace::Bucket;
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
 const TIMEOUT: Micros = Micros::from_millis(3000);
 /// A type, zone and kind without capacity is asked for again after this long.
@@ -398,16 +399,28 @@
                 silent.max(lease - Micros::from_secs(1.0))
             }
         };
-        let up = self.machines.values().filter(|m| m.state == MachineState::Up).count();
-        let quiet = |m: &Machine| now.since(m.last_report.max(m.kept_at).max(self.listens_since)) > silent;
-        let quiet_count = self
-            .machines
-            .values()
-            .filter(|m| m.state == MachineState::Up && quiet(m))
-            .count();
-        // Half the fleet silent at once says more about this node's view than
-        // about the machines; they get as long as their leases last.
-        let doubt_self = quiet_count >= 3 && quiet_count * 2 > up;
+        // Where a node is lost, its workers find another one first.
+        let listens = |m: &Machine| {
+            let lost = m.via.as_deref().and_then(|node| self.lost_nodes.get(node)).copied();
+            self.listens_since.max(lost.unwrap_or(Micros::ZERO))
+        };
+        // Half of the machines that one node hears silent at once says more about
+        // that node than about the machines; they get as long as their leases
+        // last.
+        let mut heard_by: BTreeMap<Option<Rc<str>>, (usize, usize)> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| m.state == MachineState::Up) {
+            let quiet = now.since(m.last_report.max(m.kept_at).max(listens(m))) > silent;
+            let group = heard_by.entry(m.via.clone()).or_default();
+            group.0 += 1;
+            group.1 += usize::from(quiet);
+        }
+        let doubted: BTreeSet<Option<Rc<str>>> = heard_by
+            .into_iter()
+            .filter(|(_, (all, quiet))| *quiet >= 3 && quiet * 2 > *all)
+            .map(|(via, _)| via)
+            .collect();
+        let listening: BTreeMap<MachineId, Micros> =
+            self.machines.values().map(|m| (m.name.clone(), listens(m))).collect();
         let held_too_long: BTreeSet<MachineId> = self
             .jobs
             .values()
@@ -417,11 +430,12 @@
             .map(|p| p.machine.clone())
             .collect();
         for m in self.machines.values_mut().filter(|m| m.state != MachineState::Doomed) {
+            let listens = listening.get(&m.name).copied().unwrap_or(self.listens_since);
             // What another node keeps runs on, but nothing that ends there can be
             // recorded: a short cut is sat out, a long one is not.
-            let sat_out = now.since(m.last_report.max(self.listens_since)) < KEPT_LIMIT;
+            let sat_out = now.since(m.last_report.max(listens)) < KEPT_LIMIT;
             let kept_at = if sat_out { m.kept_at } else { Micros::ZERO };
-            let unheard = now.since(m.last_report.max(kept_at).max(self.listens_since));
+            let unheard = now.since(m.last_report.max(kept_at).max(listens));
             let boot = site.catalogue.get(&m.machine_type).map_or(60.0, |t| t.boot_s);
             let why = match m.state {
                 MachineState::Booting if m.tasks.is_empty() => {
@@ -430,7 +444,9 @@
                     let late = now.since(m.since) > Micros::from_secs(boot * 2.2 + 5.0);
                     (late && heard).then_some("never came up")
                 }
-                _ if unheard > patience(m) && (!doubt_self || unheard > patience(m) + lease) => Some("silent"),
+                _ if unheard > patience(m) && (!doubted.contains(&m.via) || unheard > patience(m) + lease) => {
+                    Some("silent")
+                }
                 _ if m.taken_at.is_some_and(|at| now > at) && unheard > Micros::from_secs(w.report_s * 1.5 + 1.0) => {
                     Some("taken back")
                 }
--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// This node's name.
+    pub fn node(&self) -> &str {
+        &self.node
+    }
+
     /// The term as known here; 0 before any.
     pub fn term(&self) -> u64 {
         self.current.as_ref().map_or(0, |(t, _)| t.term)
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -13,8 +13,9 @@
 pub mod workers;
 
 use crate::protocol::cloud::{Catalogue, Hosts, ListPage, MachineType, Rent};
-use crate::protocol::peer::PeerMessage;
+use crate::protocol::peer::{Link, PeerMessage};
 use crate::protocol::store::{StoreAnswer, StoreRequest};
+pub use crate::protocol::workers::DirectAnswer;
 use crate::protocol::workers::{Direct, Report};
 use crate::settings::Settings;
 use crate::time::Micros;
@@ -36,6 +37,9 @@
 /// larger transactions time and again.
 const USED: f64 = 0.95;
 
+/// A controller that was not heard for this long is not counted on.
+const HEARD: Micros = Micros::from_millis(1600);
+
 /// A job's id.
 pub type JobId = Rc<str>;
 
@@ -73,28 +77,35 @@
     Unknown,
 }
 
-/// What came of commands sent straight to a worker.
-#[derive(Clone, Debug, PartialEq)]
-pub enum DirectAnswer {
-    /// Executed; the worker's report after it.
-    Done(Report),
-    /// Nothing executed; the worker's report.
-    Rejected(Report),
-    /// The request never left.
-    NotSent,
-    /// It may have been executed, or may be later.
-    Unknown,
-}
-
 /// Something that happened outside.
 #[derive(Clone, Debug)]
 pub enum Command {
-    User { id: u64, request: UserRequest },
-    Report { id: u64, report: Report },
-    Store { id: u64, answer: StoreAnswer },
-    Cloud { id: u64, answer: CloudAnswer },
-    Direct { id: u64, answer: DirectAnswer },
+    User {
+        id: u64,
+        request: UserRequest,
+    },
+    Report {
+        id: u64,
+        report: Report,
+    },
+    Store {
+        id: u64,
+        answer: StoreAnswer,
+    },
+    Cloud {
+        id: u64,
+        answer: CloudAnswer,
+    },
+    Direct {
+        id: u64,
+        answer: DirectAnswer,
+    },
     Peer(PeerMessage),
+    /// A link to another controller has changed.
+    Link {
+        node: String,
+        link: Link,
+    },
 }
 
 /// Something to be done outside.
@@ -219,6 +230,8 @@
     leads: bool,
     /// Changes a second that it wants to make.
     wants: f64,
+    /// Workers that report to it.
+    serves: u32,
 }
 
 /// The single owner of a controller's state.
@@ -231,6 +244,11 @@
     care: Caretaker,
     leader: Option<book::Leader>,
     peers: BTreeMap<String, PeerView>,
+    links: BTreeMap<String, Link>,
+    /// Commands sent to workers for the leader: whom to tell, and its number.
+    relays: BTreeMap<u64, (String, u64)>,
+    /// The leadership of this node that has asked for workers' last reports.
+    recalled: u64,
     next_alive: Micros,
     started: bool,
     next_log: Micros,
@@ -262,6 +280,9 @@
             care: Caretaker::default(),
             leader: None,
             peers: BTreeMap::new(),
+            links: BTreeMap::new(),
+            relays: BTreeMap::new(),
+            recalled: 0,
             next_alive: now,
             started: false,
             next_log: now,
@@ -376,8 +397,15 @@
                 }
             }
             Command::Cloud { id, answer } => self.on_cloud(id, answer),
+            Command::Link { node, link } => {
+                tracing::debug!(node, ?link, "link");
+                self.links.insert(node, link);
+            }
             Command::Direct { id, answer } => {
-                if let Some(leader) = self.leader.as_mut() {
+                if let Some((to, id)) = self.relays.remove(&id) {
+                    let message = PeerMessage::Relayed { id, answer };
+                    self.sh.out.push(Effect::Peer { to, message });
+                } else if let Some(leader) = self.leader.as_mut() {
                     leader.on_direct(id, answer);
                 }
             }
@@ -435,6 +463,7 @@
                 fresh,
                 leads,
                 wants,
+                serves,
             } => {
                 if self.site.settings.peers.iter().any(|p| p.node == node) {
                     let view = PeerView {
@@ -443,6 +472,7 @@
                         term,
                         leads,
                         wants: f64::from(wants) / 1000.0,
+                        serves,
                     };
                     self.peers.insert(node, view);
                 }
@@ -458,8 +488,16 @@
                     self.desk.on_progress(list);
                 }
             }
-            PeerMessage::Forward { node, id, body } => self.on_forward(node, id, &body),
-            PeerMessage::Forwarded { id, status, body } => self.care.forwarded(&mut self.sh, id, status, body),
+            PeerMessage::Report { node, id, report } => self.on_passed(node, id, report),
+            PeerMessage::Answered { id, orders } => self.care.answered(&mut self.sh, id, orders),
+            PeerMessage::Recall { node } => self.recall(node),
+            PeerMessage::Recalled { node, reports } => self.on_recalled(&node, reports),
+            PeerMessage::Relay { node, id, addr, body } => self.relay(node, id, addr, body),
+            PeerMessage::Relayed { id, answer } => {
+                if let Some(leader) = self.leader.as_mut() {
+                    leader.on_direct(id, answer);
+                }
+            }
         }
     }
 
@@ -478,6 +516,7 @@
                 fresh: now.since(self.lead.fresh()) < Micros::from_secs(2.5),
                 leads: self.lead.role() == Role::Leader,
                 wants: (self.share_changes() * 1000.0).min(4e9) as u32,
+                serves: self.care.serves(now, self.lead.role() == Role::Leader),
             };
             for peer in &self.site.settings.peers {
                 self.sh.out.push(Effect::Peer {
@@ -506,6 +545,7 @@
     }
 
     fn tick_leader(&mut self) {
+        self.ask_recall();
         let Some(leader) = self.leader.as_mut() else { return };
         if !leader.is_loaded() {
             leader.load(&mut self.sh);
@@ -516,6 +556,11 @@
             return;
         }
         let sure = self.lead.is_sure(self.sh.now);
+        for (name, peer) in &self.peers {
+            if self.sh.now.since(peer.at) > HEARD {
+                leader.lost_nodes.insert(name.clone(), self.sh.now);
+            }
+        }
         leader.tick_machines(&mut self.sh, &self.site, sure);
         leader.schedule(&mut self.sh, &self.site);
         // A leader that may have been deposed returns no machines: the next one
@@ -527,7 +572,12 @@
         if let Some(why) = leader.wants_new_term(self.sh.now) {
             self.lead.raise(&mut self.sh, why);
         }
-        leader.flush_direct(&mut self.sh, &self.lead);
+        let now = self.sh.now;
+        let (peers, links) = (&self.peers, &self.links);
+        let reached = |node: &str| {
+            peers.get(node).is_some_and(|p| now.since(p.at) < HEARD) && links.get(node).is_none_or(|l| *l == Link::Up)
+        };
+        leader.flush_direct(&mut self.sh, &self.lead, reached);
     }
 
     /// Lets a scenario look at who leads.
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -6,21 +6,33 @@
 use super::desk::Desk;
 use super::leadership::{LeadWait, Leadership, Role};
 use super::store_queue::Urgency;
-use super::{Core, DirectAnswer, Effect, JobId, Shared, Site, Wait};
+use super::{Core, DirectAnswer, Effect, JobId, Shared, Site, Wait, HEARD};
 use crate::bookkeeping::keys;
 use crate::bookkeeping::records::to_value;
-use crate::protocol::peer::PeerMessage;
+use crate::protocol::peer::{Link, PeerMessage};
 use crate::protocol::store::{Change, StoreRequest, Txn};
+use crate::protocol::to_cbor;
 use crate::protocol::users::Phase;
 use crate::protocol::workers::{Cause, Direct, Elsewhere, Order, Orders, Report, TaskPhase};
-use crate::protocol::{from_cbor, to_cbor};
 use crate::time::Micros;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
+/// Reports that wait until a new leader can answer them.
+const EARLY: usize = 4000;
 /// Orders in one message, well under the 64 KiB for responses.
 const ORDERS: usize = 300;
 /// A direct order with no answer by then is in doubt.
 const DIRECT_TIMEOUT: Micros = Micros::from_millis(1500);
+/// The same by way of another node.
+const RELAY_LIMIT: Micros = Micros::from_millis(2600);
+/// Reports in one message to a new leader, well under the limit of a frame.
+const RECALLED: usize = 30;
+/// A node takes this many workers more than a third beyond the one with the
+/// fewest before it sends new ones there.
+const UNEVEN: u32 = 16;
+/// A node that workers could not reach is not named to others for this long.
+const UNREACHED: Micros = Micros::from_millis(30_000);
 /// A forwarded report waits this long for the leader; the worker waits 4 s.
 const FORWARD_LIMIT: Micros = Micros::from_millis(1500);
 /// A worker sent to the leader that comes back within this time cannot reach it.
@@ -31,6 +43,9 @@
     pub machine: MachineId,
     pub orders: Vec<Order>,
     pub fence: u64,
+    /// By way of another node, since then.
+    pub relayed: bool,
+    pub at: Micros,
 }
 
 /// Splits a task's name into its job and number.
@@ -40,8 +55,16 @@
 }
 
 impl Leader {
-    /// Takes in a report; returns the orders for its answer.
-    pub fn on_report(&mut self, site: &Site, report: &Report, now: Micros) -> Vec<Order> {
+    /// Takes in a report that a worker sent at about `at`, here or to another
+    /// node; returns the orders for its answer.
+    pub fn on_report(
+        &mut self,
+        site: &Site,
+        report: &Report,
+        via: Option<&str>,
+        at: Micros,
+        now: Micros,
+    ) -> Vec<Order> {
         let name: MachineId = report.machine.as_str().into();
         if self.gone.contains(&name) {
             return vec![];
@@ -57,7 +80,14 @@
         let new_session = report.session > machine.session;
         machine.session = report.session;
         machine.serial = report.serial;
-        machine.last_report = now;
+        machine.last_report = if new_session || machine.state == MachineState::Booting {
+            at
+        } else {
+            machine.last_report.max(at)
+        };
+        if machine.via.as_deref() != via {
+            machine.via = via.map(Rc::from);
+        }
         machine.addr.clone_from(&report.addr);
         machine.describe(&report.machine_type, &report.zone, report.spot);
         machine.fence = machine.fence.max(report.fence);
@@ -331,7 +361,9 @@
 
     /// Sends what is urgent straight to the machines, one message at a time for
     /// each.
-    pub fn flush_direct(&mut self, sh: &mut Shared, lead: &Leadership) {
+    /// They go by way of the node that the machine reports to, if that is heard:
+    /// it has a way to the machine even where this one has none.
+    pub fn flush_direct(&mut self, sh: &mut Shared, lead: &Leadership, reached: impl Fn(&str) -> bool) {
         if lead.role() != Role::Leader {
             return;
         }
@@ -358,7 +390,8 @@
                     }
                 }
             }
-            sh_send(sh, &mut self.direct, m, orders, lead.term());
+            let by = m.via.clone().filter(|node| reached(node));
+            sh_send(sh, &mut self.direct, m, orders, lead, by.as_deref());
         }
         for (id, task) in starts {
             if let Some(p) = self.jobs.get_mut(&id).and_then(|j| j.placed.get_mut(&task)) {
@@ -391,8 +424,9 @@
     pub fn tick_machines(&mut self, sh: &mut Shared, site: &Site, sure: bool) {
         let now = sh.now;
         for report in std::mem::take(&mut self.direct_reports) {
-            let orders = self.on_report(site, &report, now);
             let name: MachineId = report.machine.as_str().into();
+            let via = self.machines.get(&name).and_then(|m| m.via.clone());
+            let orders = self.on_report(site, &report, via.as_deref(), now, now);
             if let Some(m) = self.machines.get_mut(&name) {
                 // Starts go again with the next report's answer if need be.
                 m.urgent
@@ -403,6 +437,12 @@
         if now < self.next_machines {
             return;
         }
+        // What another node was asked to send and did not answer for.
+        let late = |d: &SentDirect| d.relayed && now.since(d.at) > RELAY_LIMIT;
+        let late: Vec<u64> = self.direct.iter().filter(|(_, d)| late(d)).map(|(id, _)| *id).collect();
+        for id in late {
+            self.on_direct(id, DirectAnswer::Unknown);
+        }
         self.next_machines = now + Micros::from_millis(500);
         let quiet = Self::work_silence(site);
         if self
@@ -429,27 +469,48 @@
     }
 }
 
-fn sh_send(sh: &mut Shared, direct: &mut BTreeMap<u64, SentDirect>, m: &mut Machine, orders: Vec<Order>, fence: u64) {
+fn sh_send(
+    sh: &mut Shared,
+    direct: &mut BTreeMap<u64, SentDirect>,
+    m: &mut Machine,
+    orders: Vec<Order>,
+    lead: &Leadership,
+    by: Option<&str>,
+) {
     let id = sh.id();
+    let fence = lead.term();
     m.flying = Some(id);
-    sh.out.push(Effect::Direct {
-        id,
-        addr: m.addr.clone(),
-        body: Direct {
-            fence,
-            session: m.session,
-            orders: orders.clone(),
+    let body = Direct {
+        fence,
+        session: m.session,
+        orders: orders.clone(),
+    };
+    let addr = m.addr.clone();
+    sh.out.push(match by {
+        Some(node) => Effect::Peer {
+            to: node.to_string(),
+            message: PeerMessage::Relay {
+                node: lead.node().to_string(),
+                id,
+                addr,
+                body,
+            },
         },
-        timeout: DIRECT_TIMEOUT,
-    });
-    direct.insert(
-        id,
-        SentDirect {
-            machine: m.name.clone(),
-            orders,
-            fence,
+        None => Effect::Direct {
+            id,
+            addr,
+            body,
+            timeout: DIRECT_TIMEOUT,
         },
-    );
+    });
+    let sent = SentDirect {
+        machine: m.name.clone(),
+        orders,
+        fence,
+        relayed: by.is_some(),
+        at: sh.now,
+    };
+    direct.insert(id, sent);
 }
 
 /// A report passed on to the leader.
@@ -462,8 +523,13 @@
 /// What a node that does not lead remembers of workers.
 #[derive(Default)]
 pub struct Caretaker {
-    sent_away: BTreeMap<String, Micros>,
+    /// Workers sent to another node: when, and to which.
+    sent_away: BTreeMap<String, (Micros, String)>,
     forwarded: BTreeMap<u64, Forwarded>,
+    /// The last report of each worker that reports here, and when it came.
+    served: BTreeMap<String, (Micros, Report)>,
+    /// Nodes that workers could not reach, until when they are not named.
+    unreached: BTreeMap<String, Micros>,
     /// Machines kept without the leader, and when each last reported.
     kept: BTreeMap<String, Micros>,
     next_publish: Micros,
@@ -474,12 +540,40 @@
 
 impl Caretaker {
     /// The leader's answer to a report that was passed on.
-    pub fn forwarded(&mut self, sh: &mut Shared, id: u64, status: u16, body: Vec<u8>) {
+    pub fn answered(&mut self, sh: &mut Shared, id: u64, orders: Orders) {
         if let Some(f) = self.forwarded.remove(&id) {
-            sh.reply(f.reply, status, body, None);
+            self.kept.remove(&f.report.machine);
+            sh.reply(f.reply, 200, to_cbor(&orders), None);
+        }
+    }
+
+    /// How many workers report here. The leader, which has more to do, counts
+    /// them twice.
+    pub fn serves(&mut self, now: Micros, leads: bool) -> u32 {
+        self.served
+            .retain(|_, (at, _)| now.since(*at) < Micros::from_secs(60.0));
+        let recent = |at: Micros| now.since(at) < Micros::from_secs(15.0);
+        let n = self.served.values().filter(|(at, _)| recent(*at)).count() as u32;
+        if leads {
+            n * 2
+        } else {
+            n
         }
     }
 
+    /// The worker was sent to another node lately and came back: it could not
+    /// reach that one.
+    fn came_back(&mut self, machine: &str, now: Micros) -> bool {
+        let Some((at, to)) = self.sent_away.get(machine) else {
+            return false;
+        };
+        let back = now.since(*at) < COMES_BACK;
+        if back {
+            self.unreached.insert(to.clone(), now + UNREACHED);
+        }
+        back
+    }
+
     /// Answers reports that the leader has not answered in time.
     pub fn tick(&mut self, sh: &mut Shared, lead: &Leadership, desk: &Desk, site: &Site) {
         let now = sh.now;
@@ -553,8 +647,56 @@
 }
 
 impl Core {
-    /// A worker reports to this node.
+    /// Whether messages reach this node and come back.
+    fn reaches_node(&self, node: &str) -> bool {
+        let heard = self.peers.get(node).is_some_and(|p| self.sh.now.since(p.at) < HEARD);
+        heard && self.links.get(node).is_none_or(|l| *l == Link::Up)
+    }
+
+    /// A node with far fewer workers, for one that reports here for the first
+    /// time.
+    fn less_busy(&mut self, machine: &str) -> Option<String> {
+        let now = self.sh.now;
+        let known = self.care.served.get(machine);
+        let lease = Micros::from_secs(self.site.settings.params.workers.lease_s);
+        if known.is_some_and(|(at, _)| now.since(*at) < lease) || self.care.came_back(machine, now) {
+            return None;
+        }
+        self.care.unreached.retain(|_, until| now < *until);
+        let own = self.care.serves(now, self.lead.role() == Role::Leader);
+        let (node, least) = self
+            .peers
+            .iter()
+            .filter(|(name, p)| p.fresh && self.reaches_node(name) && !self.care.unreached.contains_key(*name))
+            .map(|(name, p)| (name.clone(), p.serves))
+            .min_by_key(|(_, serves)| *serves)?;
+        (own > least + least / 3 + UNEVEN).then_some(node)
+    }
+
+    fn send_away(&mut self, id: u64, machine: &str, to: String) {
+        let now = self.sh.now;
+        self.care.sent_away.insert(machine.to_string(), (now, to.clone()));
+        self.care.served.remove(machine);
+        let body = to_cbor(&Elsewhere { report_to: Some(to) });
+        self.sh.reply(id, 421, body, None);
+    }
+
+    /// A worker reports to this node. Every node takes reports, so that none
+    /// needs a connection to every worker; they are passed on to the leader.
     pub(super) fn on_report(&mut self, id: u64, report: Report) {
+        let now = self.sh.now;
+        if let Some(node) = self.less_busy(&report.machine) {
+            return self.send_away(id, &report.machine, node);
+        }
+        let newer = |old: &(Micros, Report)| (old.1.session, old.1.serial) < (report.session, report.serial);
+        if self.care.served.get(&report.machine).is_none_or(newer) {
+            self.care.served.insert(report.machine.clone(), (now, report.clone()));
+        }
+        self.answer_report(id, report);
+    }
+
+    /// Answers a worker's report, now or when the leader has.
+    pub(super) fn answer_report(&mut self, id: u64, report: Report) {
         let now = self.sh.now;
         let current = now.since(self.lead.fresh()) < self.site.knowledge_limit();
         if self.lead.role() == Role::Leader {
@@ -567,14 +709,14 @@
             if !leader.is_loaded() || self.lead.in_doubt() {
                 // Answered as soon as the book is read, or the lease confirmed,
                 // which takes moments.
-                if leader.early_reports.len() < 500 {
+                if leader.early_reports.len() < EARLY {
                     leader.early_reports.push((EarlyReport::Worker(id), report, now));
                 } else {
                     self.sh.reply(id, 503, vec![], Some(1));
                 }
                 return;
             }
-            let orders = leader.on_report(&self.site, &report, now);
+            let orders = leader.on_report(&self.site, &report, None, now, now);
             let body = to_cbor(&Orders {
                 fence: self.lead.term(),
                 orders,
@@ -593,47 +735,30 @@
             // Nobody leads just now; a new leader is moments away.
             return self.keep(id, &report);
         };
-        let reachable = self
-            .peers
-            .get(&leader)
-            .is_some_and(|p| now.since(p.at) < Micros::from_secs(2.0));
-        if !reachable {
-            // Sent there, the worker would most likely wait in vain while its
-            // lease runs out.
+        if !self.reaches_node(&leader) {
+            // Connections to the leader are refused, but its host is there: the
+            // worker may get through where this node does not. Where nothing
+            // comes back, it would most likely wait in vain while its lease
+            // runs out.
+            let refused = self.links.get(&leader) == Some(&Link::Refused);
+            if refused && !self.care.came_back(&report.machine, now) {
+                return self.send_away(id, &report.machine, leader);
+            }
             return self.keep(id, &report);
         }
-        let back = self
-            .care
-            .sent_away
-            .get(&report.machine)
-            .is_some_and(|at| now.since(*at) < COMES_BACK);
-        if !back {
-            self.care.sent_away.insert(report.machine.clone(), now);
-            let body = to_cbor(&Elsewhere {
-                report_to: Some(leader),
-            });
-            return self.sh.reply(id, 421, body, None);
-        }
-        // The worker was sent to the leader and came back: it cannot reach it.
-        // This node passes its reports on as long as that lasts.
         let number = self.sh.id();
-        let body = to_cbor(&report);
-        self.care.forwarded.insert(
-            number,
-            Forwarded {
-                reply: id,
-                report,
-                at: now,
-            },
-        );
-        self.sh.out.push(Effect::Peer {
-            to: leader,
-            message: PeerMessage::Forward {
-                node: self.site.settings.node.clone(),
-                id: number,
-                body,
-            },
-        });
+        let message = PeerMessage::Report {
+            node: self.site.settings.node.clone(),
+            id: number,
+            report: report.clone(),
+        };
+        let passed = Forwarded {
+            reply: id,
+            report,
+            at: now,
+        };
+        self.care.forwarded.insert(number, passed);
+        self.sh.out.push(Effect::Peer { to: leader, message });
     }
 
     /// Answers a report alone, and remembers the machine as kept here.
@@ -644,12 +769,11 @@
     }
 
     /// Another node passes on a report.
-    pub(super) fn on_forward(&mut self, node: String, id: u64, body: &[u8]) {
-        let Ok(report) = from_cbor::<Report>(body) else { return };
+    pub(super) fn on_passed(&mut self, node: String, id: u64, report: Report) {
         let now = self.sh.now;
         match self.leader.as_mut() {
             Some(leader) if !leader.is_loaded() || self.lead.in_doubt() => {
-                if leader.early_reports.len() < 500 {
+                if leader.early_reports.len() < EARLY {
                     leader.early_reports.push((EarlyReport::Peer(node, id), report, now));
                 }
             }
@@ -664,29 +788,122 @@
         let Some(leader) = self.leader.as_mut().filter(|l| l.is_loaded()) else {
             return;
         };
-        for (from, report, _) in std::mem::take(&mut leader.early_reports) {
+        for (from, report, at) in std::mem::take(&mut leader.early_reports) {
             match from {
-                EarlyReport::Worker(id) => self.on_report(id, report),
+                EarlyReport::Worker(id) => self.answer_report(id, report),
                 EarlyReport::Peer(node, id) => self.answer_forward(node, id, report),
+                EarlyReport::Recalled(node) => self.take_recalled(&node, &report, at),
             }
         }
     }
 
-    pub(super) fn answer_forward(&mut self, node: String, id: u64, report: Report) {
+    fn answer_forward(&mut self, node: String, id: u64, report: Report) {
         let now = self.sh.now;
         let current = now.since(self.lead.fresh()) < self.site.knowledge_limit();
         if self.lead.role() != Role::Leader || !current || report.fence > self.lead.term() {
             return;
         }
         let Some(leader) = self.leader.as_mut() else { return };
-        let orders = leader.on_report(&self.site, &report, now);
-        let body = to_cbor(&Orders {
-            fence: self.lead.term(),
-            orders,
-        });
-        self.sh.out.push(Effect::Peer {
-            to: node,
-            message: PeerMessage::Forwarded { id, status: 200, body },
+        let orders = leader.on_report(&self.site, &report, Some(&node), now, now);
+        let message = PeerMessage::Answered {
+            id,
+            orders: Orders {
+                fence: self.lead.term(),
+                orders,
+            },
+        };
+        self.sh.out.push(Effect::Peer { to: node, message });
+    }
+
+    /// A new leader asks the others, once, what workers reported last: it would
+    /// hear of its machines only over a whole report period otherwise.
+    pub(super) fn ask_recall(&mut self) {
+        let Some(leader) = self.leader.as_mut().filter(|l| l.incarnation != self.recalled) else {
+            return;
+        };
+        self.recalled = leader.incarnation;
+        let node = self.site.settings.node.clone();
+        for peer in &self.site.settings.peers {
+            let message = PeerMessage::Recall { node: node.clone() };
+            self.sh.out.push(Effect::Peer {
+                to: peer.node.clone(),
+                message,
+            });
+        }
+        for (at, report) in self.care.served.values() {
+            let from = EarlyReport::Recalled(node.clone());
+            leader.early_reports.push((from, report.clone(), *at));
+        }
+    }
+
+    /// Tells a new leader what workers reported here last.
+    pub(super) fn recall(&mut self, to: String) {
+        let now = self.sh.now;
+        let lease = Micros::from_secs(self.site.settings.params.workers.lease_s);
+        let recent = |at: &Micros| now.since(*at) < lease;
+        let reports: Vec<(u32, Report)> = self
+            .care
+            .served
+            .values()
+            .filter(|(at, _)| recent(at))
+            .map(|(at, report)| ((now.since(*at).0 / 1000) as u32, report.clone()))
+            .collect();
+        for some in reports.chunks(RECALLED) {
+            let message = PeerMessage::Recalled {
+                node: self.site.settings.node.clone(),
+                reports: some.to_vec(),
+            };
+            self.sh.out.push(Effect::Peer {
+                to: to.clone(),
+                message,
+            });
+        }
+    }
+
+    /// What workers reported last to another node.
+    pub(super) fn on_recalled(&mut self, node: &str, reports: Vec<(u32, Report)>) {
+        let now = self.sh.now;
+        for (age_ms, report) in reports {
+            let at = Micros(now.0.saturating_sub(u64::from(age_ms) * 1000));
+            match self.leader.as_mut() {
+                Some(leader) if !leader.is_loaded() => {
+                    if leader.early_reports.len() < EARLY {
+                        let from = EarlyReport::Recalled(node.to_string());
+                        leader.early_reports.push((from, report, at));
+                    }
+                }
+                Some(_) => self.take_recalled(node, &report, at),
+                None => {}
+            }
+        }
+    }
+
+    /// A report that was answered before: what it says is as good as of any late
+    /// report, but nobody waits for orders.
+    fn take_recalled(&mut self, node: &str, report: &Report, at: Micros) {
+        let now = self.sh.now;
+        let via = (node != self.site.settings.node).then_some(node);
+        if let Some(leader) = self.leader.as_mut() {
+            leader.on_report(&self.site, report, via, at, now);
+        }
+    }
+
+    /// Sends commands to a worker for the leader.
+    pub(super) fn relay(&mut self, node: String, id: u64, addr: String, body: Direct) {
+        if body.fence < self.lead.term() {
+            // From a leader that was deposed meanwhile.
+            let answer = DirectAnswer::NotSent;
+            let message = PeerMessage::Relayed { id, answer };
+            self.sh.out.push(Effect::Peer { to: node, message });
+            return;
+        }
+        let own = self.sh.id();
+        self.relays.insert(own, (node, id));
+        self.sh.out.push(Effect::Direct {
+            id: own,
+            addr,
+            body,
+            timeout: DIRECT_TIMEOUT,
         });
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,7 +2,7 @@
 //! on the other, and a queue of commands between them.
 
 use crate::coordination::{CloudAnswer, CloudRequest, Command, Core, DirectAnswer, Effect, UserRequest};
-use crate::protocol::peer::PeerMessage;
+use crate::protocol::peer::{Link, PeerMessage};
 use crate::protocol::store::{Events, Lease, NewLease, Revision, Row, Rows, StoreAnswer, StoreRequest};
 use crate::protocol::users::ErrorBody;
 use crate::protocol::workers::{Direct, Report};
@@ -350,7 +350,14 @@
     for peer in &settings.peers {
         let addr = peer.addr.parse().map_err(|_| format!("peers.addr: {}", peer.addr))?;
         let (to, queue) = async_channel::bounded(256);
-        ex.spawn(peers::send(addr, queue)).detach();
+        let (name, told, last) = (peer.node.clone(), commands.clone(), Cell::new(None));
+        let tell = move |link: Link| {
+            if last.replace(Some(link)) != Some(link) {
+                let node = name.clone();
+                told.try_send(Command::Link { node, link }).ok();
+            }
+        };
+        ex.spawn(peers::send(addr, queue, tell)).detach();
         links.insert(peer.node.clone(), to);
     }
     let process = Process {
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -1,10 +1,11 @@
 //! What workers report and what they are told.
 
 use super::maybe_amount;
+use bitcode::{Decode, Encode};
 use serde::{Deserialize, Serialize};
 
 /// The state of a task on a machine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 pub enum TaskPhase {
     #[serde(rename = "pulling")]
     Fetching,
@@ -20,7 +21,7 @@
 }
 
 /// Why a task exited.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 pub enum Cause {
     #[serde(rename = "done")]
     Done,
@@ -40,7 +41,7 @@
 }
 
 /// One task in a report.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Encode, Decode)]
 pub struct TaskReport {
     #[serde(rename = "piece")]
     pub task: String,
@@ -52,7 +53,7 @@
 }
 
 /// A worker's report.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Encode, Decode)]
 pub struct Report {
     #[serde(rename = "host")]
     pub machine: String,
@@ -74,7 +75,7 @@
 }
 
 /// A command for a worker.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Encode, Decode)]
 #[serde(tag = "verb")]
 pub enum Order {
     #[serde(rename = "run")]
@@ -103,14 +104,14 @@
 }
 
 /// The answer to a report.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, Encode, Decode)]
 pub struct Orders {
     pub fence: u64,
     pub orders: Vec<Order>,
 }
 
 /// Commands sent straight to a worker.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Encode, Decode)]
 pub struct Direct {
     pub fence: u64,
     #[serde(rename = "tenure")]
@@ -124,3 +125,16 @@
     #[serde(rename = "steward", default, skip_serializing_if = "Option::is_none")]
     pub report_to: Option<String>,
 }
+
+/// What came of commands sent straight to a worker.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum DirectAnswer {
+    /// Executed; the worker's report after it.
+    Done(Report),
+    /// Nothing executed; the worker's report.
+    Rejected(Report),
+    /// The request never left.
+    NotSent,
+    /// It may have been executed, or may be later.
+    Unknown,
+}
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -1,7 +1,7 @@
 //! Links between controllers: one outgoing connection to each, bitcode frames
 //! with a length in front.
 
-use crate::protocol::peer::PeerMessage;
+use crate::protocol::peer::{Link, PeerMessage};
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
@@ -41,7 +41,7 @@
 /// The other side acknowledges every frame with a byte. A connection that the
 /// other side has given up, as it does when this process stands still for a
 /// while, would take in writes without an error for ever.
-pub async fn send(addr: SocketAddr, queue: Receiver<PeerMessage>) {
+pub async fn send(addr: SocketAddr, queue: Receiver<PeerMessage>, told: impl Fn(Link)) {
     let mut link: Option<Async<TcpStream>> = None;
     let mut unacked: VecDeque<Instant> = VecDeque::new();
     loop {
@@ -68,6 +68,7 @@
         let message = match turn {
             Turn::Message(message) => Some(message),
             Turn::Taken(n) => {
+                told(Link::Up);
                 unacked.drain(..n.min(unacked.len()));
                 None
             }
@@ -79,17 +80,22 @@
             Turn::Quiet => None,
         };
         if unacked.front().is_some_and(|at| at.elapsed() > ACKED) {
+            told(Link::Silent);
             link = None;
         }
         let Some(message) = message else { continue };
         if link.is_none() {
             unacked.clear();
-            link = within(CONNECT, async { Async::<TcpStream>::connect(addr).await.ok() }).await;
-            match &link {
-                Some(s) => {
+            let tried = within(CONNECT, async { Some(Async::<TcpStream>::connect(addr).await) }).await;
+            match tried {
+                Some(Ok(s)) => {
                     s.get_ref().set_nodelay(true).ok();
+                    link = Some(s);
                 }
-                None => {
+                failed => {
+                    let refused = |e: &std::io::Error| e.kind() == std::io::ErrorKind::ConnectionRefused;
+                    let refused = matches!(&failed, Some(Err(e)) if refused(e));
+                    told(if refused { Link::Refused } else { Link::Silent });
                     // Whatever has queued up meanwhile is out of date.
                     while queue.try_recv().is_ok() {}
                     Timer::after(Duration::from_millis(200)).await;
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -471,7 +471,7 @@
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
     let (to, queue) = async_channel::bounded(64);
-    std::thread::spawn(move || async_io::block_on(glenhaven::transport::peers::send(addr, queue)));
+    std::thread::spawn(move || async_io::block_on(glenhaven::transport::peers::send(addr, queue, |_| {})));
     let (opened, links) = std::sync::mpsc::channel();
     std::thread::spawn(move || {
         // Held open, never read, never acknowledged.
@@ -487,6 +487,7 @@
             fresh: true,
             leads: true,
             wants: 0,
+            serves: 0,
         })
         .ok();
         held.extend(links.try_recv().ok());
