Jobs submitted with a mistake are told from faulty machines

Ruled out: excluding machines per job only (a small fleet runs out of machines). Now: a job that failed on two machines and never did well is to blame, its machines are exonerated; it is tried one task at a time, ever more slowly, last of all, and neither its demand nor its waiting rents machines. A machine is doubted for a job that does well elsewhere, or for three jobs.

--- a/src/coordination/book.rs
+++ b/src/coordination/book.rs
@@ -38,6 +38,9 @@
     Exited(Cause),
 }
 
+/// A replica that has run for this long does well.
+const RUNS_WELL: Micros = Micros::from_millis(20_000);
+
 /// A task that is, or may be, on a machine.
 #[derive(Clone, Debug)]
 pub struct Placement {
@@ -153,6 +156,16 @@
         self.cancelled.is_none() && !self.closing
     }
 
+    /// Whether the job itself, and not machines, seems to be why its tasks fail:
+    /// they failed on several machines and none has ever done well. It is tried
+    /// on, one task now and then, because only its user may give it up.
+    pub fn is_suspect(&self, now: Micros) -> bool {
+        let runs = |p: &Placement| {
+            matches!(p.stage, Stage::Seen(_)) && p.running_since.is_some_and(|at| now.since(at) > RUNS_WELL)
+        };
+        self.failed_on.len() >= 2 && self.finished == 0 && !(self.is_service() && self.placed.values().any(runs))
+    }
+
     /// Placements that take room on machines.
     pub fn holding(&self) -> impl Iterator<Item = &Placement> {
         self.placed.values().filter(|p| !matches!(p.stage, Stage::Exited(_)))
@@ -246,8 +259,10 @@
     /// Orders to be sent straight away.
     pub urgent: Vec<Order>,
     pub flying: Option<u64>,
-    /// Failures of tasks here lately; doubted machines get nothing new.
-    pub faults: u32,
+    /// Jobs whose tasks failed here lately, and how many of them; doubted
+    /// machines get nothing new.
+    pub faults: BTreeMap<JobId, u32>,
+    pub doubted_since: Option<Micros>,
     pub doubted_until: Micros,
     pub release_sent: Option<Micros>,
     /// When the last of its tasks is expected to end.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -20,6 +20,8 @@
 /// exceeds the spot machines by this factor: they cost more than twice as much,
 /// and what little is over the room is served as tasks end.
 const PATIENCE: f64 = 2.5;
+/// A machine on which tasks fail is returned after this long.
+const FAULTY: Micros = Micros::from_millis(15_000);
 /// How long a machine that only another node hears is left alone.
 const KEPT_LIMIT: Micros = Micros::from_millis(45_000);
 /// Share of the room that tasks give back during a boot that what waits now
@@ -534,12 +536,12 @@
 
     /// Cores that work of each kind holds and waits for, as far as the teams'
     /// limits let it run: (needs ordinary machines, may use spot machines).
-    fn demand(&self, site: &Site) -> (f64, f64) {
+    fn demand(&self, site: &Site, now: Micros) -> (f64, f64) {
         let mut by_team: BTreeMap<&str, (f64, f64, f64, f64)> = BTreeMap::new();
         for job in self.jobs.values() {
             let cores = effective_cores(&job.spec, site);
             let held = f64::from(job.held);
-            let waits = if job.is_live() && now_waiting(job) {
+            let waits = if job.is_live() && now_waiting(job, now) {
                 job.waiting.len() as f64
             } else {
                 0.0
@@ -565,7 +567,7 @@
 
     /// Decides what to rent and what to return.
     fn decide(&mut self, site: &Site, now: Micros) {
-        let (ordinary, flexible) = self.demand(site);
+        let (ordinary, flexible) = self.demand(site, now);
         let span = self.fleet.average_at.map_or(0.0, |at| now.since(at).secs());
         self.fleet.average_at = Some(now);
         let keep = 0.5f64.powf(span / 20.0);
@@ -655,7 +657,7 @@
                 .fold(f64::INFINITY, f64::min);
             let up = now + Micros::from_secs(boot * 1.1 + fetch.min(60.0));
             let in_time = latest_start(site, job).is_none_or(|at| up <= at);
-            if job.is_live() && now_waiting(job) && in_time {
+            if job.is_live() && now_waiting(job, now) && in_time {
                 helped += job.waiting.len() as f64 * cores;
             }
         }
@@ -699,7 +701,7 @@
                 .stuck_since
                 .is_some_and(|at| now.since(at) > Micros::from_secs(patience));
             let stuck = stuck && (bound || enough);
-            if !job.is_live() || job.waiting.is_empty() || !stuck || !now_waiting(job) {
+            if !job.is_live() || job.waiting.is_empty() || !stuck || !now_waiting(job, now) {
                 continue;
             }
             let open = open_zones(job, &self.machines, &zones);
@@ -845,7 +847,9 @@
                 continue;
             }
             let since = *m.idle_since.get_or_insert(now);
-            let doubted = (now < m.doubted_until && m.faults >= 2) || now < m.slow_until;
+            // Time to learn whether a job is to blame instead.
+            let faulty = m.doubted_since.is_some_and(|at| now.since(at) > FAULTY) && now < m.doubted_until;
+            let doubted = faulty || now < m.slow_until;
             if doubted {
                 m.state = MachineState::Doomed;
                 continue;
@@ -866,9 +870,9 @@
     }
 }
 
-fn now_waiting(job: &super::book::Job) -> bool {
-    // A job that fails everywhere is not worth new machines.
-    job.failures < 6
+/// A job that fails everywhere is not worth new machines.
+fn now_waiting(job: &super::book::Job, now: Micros) -> bool {
+    !job.is_suspect(now)
 }
 
 /// Cores one task takes off a machine, counting memory it takes beyond its
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -225,7 +225,11 @@
         for job in self.jobs.values() {
             // What waits is demand as well: with machines that come and go the
             // slots held say only what was served.
-            let waits = if job.is_live() { job.waiting.len() } else { 0 };
+            let waits = if job.is_live() && !job.is_suspect(now) {
+                job.waiting.len()
+            } else {
+                0
+            };
             let slots = (job.held as usize + waits) as f64 * f64::from(job.class.need);
             *holding.entry(job.class.clone()).or_default() += slots;
         }
@@ -325,6 +329,7 @@
             .map(|j| {
                 let first = within.contains(&j.id);
                 let rank = (
+                    j.is_suspect(now),
                     std::cmp::Reverse(j.spec.priority),
                     !first,
                     lateness(site, j, self.fetch_s(site, &j.spec), now),
@@ -399,6 +404,9 @@
                 break;
             }
             let wants = self.jobs.get(id).is_some_and(|j| {
+                if j.is_suspect(now) {
+                    return false;
+                }
                 let waited = now.since(j.arrived) >= GUARANTEE_PATIENCE;
                 !j.waiting.is_empty() && (j.spec.priority == Priority::Production || (waited && within.contains(id)))
             });
@@ -458,8 +466,10 @@
             (_, zones) => zones.unwrap_or_default(),
         };
         let mut borrowed = 0;
+        // A job that fails everywhere is tried with one task at a time.
+        let suspect = job.is_suspect(pass.now);
         while let Some(task) = job.waiting.first().copied() {
-            if pass.starts >= STARTS {
+            if pass.starts >= STARTS || (suspect && job.held > 0) {
                 return false;
             }
             let room = match via {
@@ -739,9 +749,9 @@
     }
 }
 
-/// The order of the queue: priority, whether beyond the team's guarantee,
+/// The order of the queue: whether the job fails everywhere, priority, whether beyond the team's guarantee,
 /// how late beyond help, and age.
-type Rank = (std::cmp::Reverse<Priority>, bool, u8, u64);
+type Rank = (bool, std::cmp::Reverse<Priority>, bool, u8, u64);
 
 /// Where a start is counted.
 #[derive(Clone, Copy)]
@@ -808,6 +818,7 @@
         machines: &BTreeMap<MachineId, Machine>,
     ) -> Option<(usize, bool)> {
         let spec = &job.spec;
+        let suspect = job.is_suspect(self.now);
         let most = spec.tasks.div_ceil(2);
         let production = spec.priority >= Priority::Production;
         let keeps_reserve = self.ordinary_free - spec.cpus >= self.reserve - EPS;
@@ -825,7 +836,7 @@
                     let place = open.iter().position(|k| *k == room.kind)?;
                     // Services keep together: their machines are the last that
                     // can be returned.
-                    (room.fits(spec) && !job.failed_on.contains(name)).then_some((place, !room.serves, at))
+                    (room.fits(spec) && (suspect || !job.failed_on.contains(name))).then_some((place, !room.serves, at))
                 });
                 if let Some((_, _, at)) = cached.min() {
                     return Some((at, true));
@@ -850,7 +861,7 @@
                         if full[kind] == at {
                             full[kind] += 1;
                         }
-                    } else if !job.failed_on.contains(&room.name) {
+                    } else if suspect || !job.failed_on.contains(&room.name) {
                         // Beside services, room is kept for the next ones: they
                         // would spread over all machines otherwise.
                         let beside = room.serves && !production && !kinds[kind].spot;
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -18,6 +18,8 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+/// How long a machine on which tasks fail gets nothing new.
+const DOUBTED: Micros = Micros::from_millis(120_000);
 /// Reports that wait until a new leader can answer them.
 const EARLY: usize = 4000;
 /// Orders in one message, well under the 64 KiB for responses.
@@ -320,26 +322,24 @@
                     self.touch(id, task / chunk_tasks, now);
                 }
                 if let Some(m) = self.machines.get_mut(name) {
-                    m.faults = m.faults.saturating_sub(1);
+                    m.faults.pop_first();
                 }
             }
             Cause::Error => {
                 tracing::debug!(job = %id, task, machine = %name, "task failed");
-                // Many tasks that fail on one machine tell of the machine; a
-                // job that fails on several must not spin through the fleet.
-                let first_here = job.failed_on.insert(name.clone());
-                job.failures = job.failures.max(job.failed_on.len() as u32);
-                if job.failed_on.len() > 2 {
-                    let backoff = 1u64 << (job.failed_on.len() - 2).min(6);
-                    job.not_before = now + Micros::from_secs(backoff as f64);
-                }
-                let blames_job = job.failed_on.len() > 2;
-                if let (false, Some(m)) = (blames_job, self.machines.get_mut(name)) {
-                    m.faults += 1;
-                    if m.faults == 2 || (m.faults > 2 && first_here) {
-                        tracing::info!(machine = %name, faults = m.faults, "machine doubted: tasks fail on it");
-                        m.doubted_until = now + Micros::from_secs(120.0);
+                job.failed_on.insert(name.clone());
+                job.failures += 1;
+                if job.is_suspect(now) {
+                    // Tries follow each other ever more slowly.
+                    let tries = job.failed_on.len().max(2) - 2 + job.failures as usize / job.spec.tasks.max(1) as usize;
+                    let pause = Micros::from_secs((2u64 << tries.min(5)) as f64);
+                    job.not_before = now + pause;
+                    let machines = job.failed_on.clone();
+                    for machine in machines {
+                        self.exonerate(&machine, id);
                     }
+                } else {
+                    self.blame(name, id, now);
                 }
             }
             Cause::NoRoom | Cause::Busy => {
@@ -359,6 +359,35 @@
         }
     }
 
+    /// Tasks of this job, which is not known to fail everywhere, failed there.
+    /// Failures of one job tell of the machine only if the job does well
+    /// elsewhere: a job submitted with a mistake fails on good machines too.
+    fn blame(&mut self, name: &MachineId, id: &JobId, now: Micros) {
+        let jobs = &self.jobs;
+        let Some(m) = self.machines.get_mut(name) else { return };
+        *m.faults.entry(id.clone()).or_default() += 1;
+        m.faults.retain(|job, _| jobs.contains_key(job));
+        let does_well = |job: &JobId| jobs.get(job).is_some_and(|j| j.finished > 0);
+        let told = m.faults.iter().any(|(job, n)| *n >= 2 && does_well(job));
+        if told || m.faults.len() >= 3 {
+            if m.doubted_since.is_none() {
+                tracing::info!(machine = %name, jobs = m.faults.len(), "machine doubted: tasks fail on it");
+            }
+            m.doubted_since.get_or_insert(now);
+            m.doubted_until = now + DOUBTED;
+        }
+    }
+
+    /// The job fails wherever it is tried: its failures say nothing of a machine.
+    fn exonerate(&mut self, name: &MachineId, id: &JobId) {
+        let Some(m) = self.machines.get_mut(name) else { return };
+        if m.faults.remove(id).is_some() && m.faults.len() < 3 && m.doubted_since.take().is_some() {
+            tracing::info!(machine = %name, job = %id, "machine no longer doubted: the job fails everywhere");
+            m.doubted_until = Micros::ZERO;
+            self.dirty = true;
+        }
+    }
+
     /// Sends what is urgent straight to the machines, one message at a time for
     /// each.
     /// They go by way of the node that the machine reports to, if that is heard:
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -33,6 +33,7 @@
             Expect::Rented(most) => world.cloud.rented() <= *most,
             Expect::LeaseKills(most) => world.rules.lease_kills <= *most,
             Expect::Stops(most) => world.rules.stops <= *most,
+            Expect::Failures(most) => world.rules.failures <= *most,
             Expect::TermsAtMost(most) => world.last_term() <= *most,
             Expect::Terms(least) => world.last_term() >= *least,
             Expect::RentedInAll(most) => world.cloud.rented_in_all() <= *most,
@@ -41,8 +42,9 @@
         };
         if !good {
             let counted = (world.store.changes, world.cloud.calls, world.cloud.rented_in_all());
+            let failures = world.rules.failures;
             wrong.push(format!(
-                "expected {expect:?}; changes, calls, machines rented: {counted:?}"
+                "expected {expect:?}; changes, calls, machines rented: {counted:?}, failures {failures}"
             ));
         }
     }
--- a/tests/sim/rules.rs
+++ b/tests/sim/rules.rs
@@ -12,6 +12,7 @@
     pub broken: Vec<String>,
     pub starts: u64,
     pub lease_kills: usize,
+    pub failures: usize,
     pub stops: usize,
     pub first_start: BTreeMap<String, u64>,
     limits: BTreeMap<String, f64>,
@@ -28,6 +29,7 @@
             broken: vec![],
             starts: 0,
             lease_kills: 0,
+            failures: 0,
             stops: 0,
             first_start: BTreeMap::new(),
             limits: script
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -66,6 +66,8 @@
     Stops(usize),
     Terms(u64),
     TermsAtMost(u64),
+    /// Tasks that failed.
+    Failures(usize),
     /// Changes made in the state service.
     Changes(u64),
     /// Machines ever rented.
@@ -335,6 +337,7 @@
                     "rented-at-most" => Expect::Rented(number(2)? as usize),
                     "lease-kills-at-most" => Expect::LeaseKills(number(2)? as usize),
                     "stops-at-most" => Expect::Stops(number(2)? as usize),
+                    "failures-at-most" => Expect::Failures(number(2)? as usize),
                     "terms-at-most" => Expect::TermsAtMost(number(2)?),
                     "terms-at-least" => Expect::Terms(number(2)?),
                     "rented-in-all-at-most" => Expect::RentedInAll(number(2)? as usize),
--- a/tests/sim/workers.rs
+++ b/tests/sim/workers.rs
@@ -200,6 +200,7 @@
                     changed = true;
                     t.phase = TaskPhase::Exited;
                     let fails = w.faulty || self.users.get(job).is_some_and(|u| u.mistake);
+                    self.rules.failures += usize::from(fails);
                     t.cause = Some(if fails { Cause::Error } else { Cause::Done });
                     if !fails {
                         self.results.insert(task.clone());
