Boot times are learnt; slow boots are waited for

Cause: a boot that takes more than 2.2 times its nominal time is given up and rented anew, which boots as slowly: with boots of four times the time nothing comes up until that is over (scenario: 35 to 39 machines rented instead of at most 34, work not done). Ruled out: renting more at once (pays for the same boots twice).

--- a/src/coordination/book.rs
+++ b/src/coordination/book.rs
@@ -227,6 +227,8 @@
     pub state: MachineState,
     /// When it was rented, as far as known.
     pub since: Micros,
+    /// When it was rented, if this leader or the list says so.
+    pub rented_at: Option<Micros>,
     pub session: u64,
     pub serial: u64,
     pub fence: u64,
@@ -352,6 +354,7 @@
     /// Reports that came as answers to direct orders, not yet taken in.
     pub direct_reports: Vec<crate::protocol::workers::Report>,
     pub fleet: super::fleet::Fleet,
+    pub boots: super::boots::Boots,
     pub new_term: Option<&'static str>,
     pub next_machines: Micros,
     pub next_pace: Micros,
@@ -398,6 +401,7 @@
             direct: BTreeMap::new(),
             direct_reports: vec![],
             fleet: super::fleet::Fleet::new(now),
+            boots: super::boots::Boots::default(),
             new_term: None,
             next_machines: now,
             next_pace: now,
--- a/src/coordination/commit.rs
+++ b/src/coordination/commit.rs
@@ -1204,6 +1204,7 @@
             spot: false,
             state: MachineState::Booting,
             since: now,
+            rented_at: None,
             session: 0,
             serial: 0,
             fence: 0,
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -331,6 +331,7 @@
                         .machines
                         .entry(name.clone())
                         .or_insert_with(|| Machine::unknown(name.clone(), now));
+                    m.rented_at.get_or_insert(now);
                     if m.machine_type.is_empty() {
                         let v = &claim.value;
                         m.describe(&v.machine_type, &v.zone, v.spot);
@@ -374,6 +375,7 @@
         if m.machine_type.is_empty() {
             m.describe(&listed.machine_type, &listed.zone, listed.spot);
         }
+        m.rented_at.get_or_insert(now.since(age));
         if m.addr.is_empty() {
             m.addr = listed.addr;
         }
@@ -423,6 +425,8 @@
             .collect();
         let listening: BTreeMap<MachineId, Micros> =
             self.machines.values().map(|m| (m.name.clone(), listens(m))).collect();
+        self.boots.look(site, &self.machines, now);
+        let boots = &self.boots;
         let held_too_long: BTreeSet<MachineId> = self
             .jobs
             .values()
@@ -443,7 +447,7 @@
                 MachineState::Booting if m.tasks.is_empty() => {
                     // To a new leader all machines are booting until they report.
                     let heard = now.since(self.listens_since) > silent;
-                    let late = now.since(m.since) > Micros::from_secs(boot * 2.2 + 5.0);
+                    let late = boots.pace(m).is_dead(now.since(m.since), boot);
                     (late && heard).then_some("never came up")
                 }
                 _ if unheard > patience(m) && (!doubted.contains(&m.via) || unheard > patience(m) + lease) => {
@@ -595,17 +599,18 @@
             // Kept by another node only: it runs on, but takes no new work.
             let away = m.kept_at > m.last_report && now.since(m.last_report) > Self::work_silence(site);
             // Machines that are up show as booting until they report here.
-            let late = m.state == MachineState::Booting
-                && heard
-                && now.since(m.since) > Micros::from_secs(t.boot_s * 1.6 + 2.0);
+            let counted = if m.state == MachineState::Booting && heard {
+                self.boots.pace(m).counted(now.since(m.since), t.boot_s)
+            } else {
+                1.0
+            };
             let usable = m.state != MachineState::Doomed
                 && m.taken_at.is_none()
                 && now >= m.doubted_until
                 && now >= m.slow_until
-                && !late
                 && !away;
             if usable {
-                supply[usize::from(m.spot)].cores += t.cpus;
+                supply[usize::from(m.spot)].cores += t.cpus * counted;
             }
         }
         for claim in self.fleet.coming() {
@@ -679,7 +684,7 @@
         let mut coming: Vec<(String, String, bool, f64)> = vec![];
         for m in self.machines.values().filter(|m| m.state == MachineState::Booting) {
             if let Some(t) = site.catalogue.get(&m.machine_type) {
-                if now.since(m.since) < Micros::from_secs(t.boot_s * 1.6 + 2.0) {
+                if self.boots.pace(m).counted(now.since(m.since), t.boot_s) > 0.0 {
                     coming.push((m.machine_type.clone(), m.zone.clone(), m.spot, t.cpus));
                 }
             }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 //! and returns effects; there is no I/O, clock or global randomness inside.
 
 pub mod book;
+pub mod boots;
 pub mod commit;
 pub mod desk;
 pub mod fleet;
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -97,6 +97,10 @@
         machine.in_doubt.retain(|_, fence| *fence >= seen_fence);
         if machine.state == MachineState::Booting {
             machine.state = MachineState::Up;
+            if let (Some(rented), Some(t)) = (machine.rented_at, site.catalogue.get(&report.machine_type)) {
+                let kind = (report.machine_type.clone(), report.zone.clone(), report.spot);
+                self.boots.came_up(kind, at.since(rented), t.boot_s, now);
+            }
             self.dirty = true;
             tracing::debug!(
                 machine = report.machine,
