Work of low priority takes what others leave, and gives it back

Now: rented for by the time there is, no ordinary machine while it has time, in the split what others leave, room given back to higher work unless it would miss its time.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -2,11 +2,11 @@
 //! dead boots given up, silent machines released, unexpected ones adopted.
 
 use super::book::{Leader, Machine, MachineId, MachineState};
-use super::placement::{allowed, latest_start, open_zones};
+use super::placement::{allowed, latest_start, open_zones, takes_leftovers};
 use super::{CloudAnswer, CloudRequest, Core, Effect, Shared, Site};
 use crate::bookkeeping::records::ClaimValue;
 use crate::protocol::cloud::{Hosts, Listed, MachineType, Rent};
-use crate::protocol::users::Spec;
+use crate::protocol::users::{Priority, Spec};
 use crate::time::Micros;
 use crate::transport::pace::Bucket;
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,6 +22,8 @@
 const PATIENCE: f64 = 2.5;
 /// A machine on which tasks fail is returned after this long.
 const FAULTY: Micros = Micros::from_millis(15_000);
+/// Work of low priority that nobody expects at any time is done in about this.
+const NO_HURRY_S: f64 = 300.0;
 /// How long a machine that only another node hears is left alone.
 const KEPT_LIMIT: Micros = Micros::from_millis(45_000);
 /// Share of the room that tasks give back during a boot that what waits now
@@ -210,6 +212,16 @@
     }
 }
 
+/// A job that no machine has room for.
+struct Stuck {
+    version: u64,
+    spec: Spec,
+    /// Zones where its next task may start.
+    open: Option<Vec<String>>,
+    cores: f64,
+    spot_only: bool,
+}
+
 /// Cores and machines of one kind.
 #[derive(Default, Clone, Copy)]
 struct Supply {
@@ -545,8 +557,8 @@
         for job in self.jobs.values() {
             let cores = effective_cores(&job.spec, site);
             let held = f64::from(job.held);
-            let waits = if job.is_live() && now_waiting(job, now) {
-                job.waiting.len() as f64
+            let waits = if job.is_live() {
+                worth_renting(site, job, now)
             } else {
                 0.0
             };
@@ -649,7 +661,7 @@
     fn worth_ordinary(&self, site: &Site, flexible: f64, now: Micros) -> f64 {
         let boots: Vec<f64> = site.catalogue.values().map(|t| t.boot_s).collect();
         let boot = boots.iter().sum::<f64>() / boots.len().max(1) as f64;
-        let (mut held, mut helped, mut freed) = (0.0, 0.0, 0.0);
+        let (mut held, mut helped, mut freed, mut low) = (0.0, 0.0, 0.0, 0.0);
         for job in self.jobs.values().filter(|j| j.spec.spot) {
             let cores = effective_cores(&job.spec, site);
             held += f64::from(job.held) * cores;
@@ -662,11 +674,17 @@
                 .fold(f64::INFINITY, f64::min);
             let up = now + Micros::from_secs(boot * 1.1 + fetch.min(60.0));
             let in_time = latest_start(site, job).is_none_or(|at| up <= at);
-            if job.is_live() && now_waiting(job, now) && in_time {
-                helped += job.waiting.len() as f64 * cores;
+            if job.is_live() && in_time {
+                // Work of low priority that has the time waits for spot machines.
+                if !takes_leftovers(site, job, now) {
+                    helped += worth_renting(site, job, now) * cores;
+                }
+            }
+            if job.spec.priority == Priority::Low {
+                low += f64::from(job.held) * cores + worth_renting(site, job, now) * cores;
             }
         }
-        let least = flexible / PATIENCE;
+        let least = (flexible - low).max(0.0) / PATIENCE;
         if helped > freed {
             least.max((held + helped - freed).min(flexible))
         } else {
@@ -695,7 +713,7 @@
                 coming.push((claim.machine_type.clone(), claim.zone.clone(), claim.spot, cores));
             }
         }
-        let mut wanted: Vec<(u64, Spec, Option<Vec<String>>, f64)> = vec![];
+        let mut wanted: Vec<Stuck> = vec![];
         for job in self.jobs.values() {
             let s = &job.spec;
             let bound = s.one_zone || s.spread || s.zone.is_some() || s.types.is_some();
@@ -711,10 +729,24 @@
             }
             let open = open_zones(job, &self.machines, &zones);
             let cores = job.waiting.len() as f64 * effective_cores(&job.spec, site);
-            wanted.push((job.version, job.spec.clone(), open, cores));
+            let spot_only = takes_leftovers(site, job, now);
+            wanted.push(Stuck {
+                version: job.version,
+                spec: job.spec.clone(),
+                open,
+                cores,
+                spot_only,
+            });
         }
-        wanted.sort_by_key(|w| w.0);
-        for (_, spec, open, cores) in wanted {
+        wanted.sort_by_key(|w| w.version);
+        for Stuck {
+            spec,
+            open,
+            cores,
+            spot_only,
+            ..
+        } in wanted
+        {
             let zone_open = |z: &String| open.as_ref().is_none_or(|o| o.contains(z));
             let mut missing = cores;
             for (machine_type, zone, spot, left) in &mut coming {
@@ -728,9 +760,13 @@
                 continue;
             }
             // One machine at a time: what waits moves on as others exit.
-            let kinds = if spec.spot { vec![true, false] } else { vec![false] };
+            let kinds: &[bool] = match (spec.spot, spot_only) {
+                (true, true) => &[true],
+                (true, false) => &[true, false],
+                _ => &[false],
+            };
             for spot in kinds {
-                if self.rent_where(site, now, spot, spec.cpus.max(1.0), Some(&spec), &zone_open) {
+                if self.rent_where(site, now, *spot, spec.cpus.max(1.0), Some(&spec), &zone_open) {
                     return;
                 }
             }
@@ -875,6 +911,27 @@
     }
 }
 
+/// How many of a job's waiting tasks machines are worth renting for. A job that
+/// fails everywhere gets none. Work of low priority runs when others leave room:
+/// tasks that can follow each other on the same cores in the time there is need
+/// no cores of their own.
+fn worth_renting(site: &Site, job: &super::book::Job, now: Micros) -> f64 {
+    if !now_waiting(job, now) {
+        return 0.0;
+    }
+    let waiting = job.waiting.len() as f64;
+    if job.spec.priority != Priority::Low || job.is_service() {
+        return waiting;
+    }
+    let span = match latest_start(site, job) {
+        Some(at) => at.since(now).secs() + job.spec.estimate_s,
+        None => NO_HURRY_S,
+    };
+    // Estimates are often wrong by half.
+    let rounds = (span / (job.spec.estimate_s * 1.5 + 1.0)).floor().max(1.0);
+    (waiting / rounds).ceil()
+}
+
 /// A job that fails everywhere is not worth new machines.
 fn now_waiting(job: &super::book::Job, now: Micros) -> bool {
     !job.is_suspect(now)
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -30,6 +30,10 @@
 const YOUNG: Micros = Micros::from_millis(4000);
 /// How long a job that is late lets others go first.
 const YIELD: Micros = Micros::from_millis(120_000);
+/// How long before its latest start, or after its arrival if nobody expects it
+/// at any time, work of low priority takes any room.
+const LEFTOVER_MARGIN: Micros = Micros::from_millis(60_000);
+const LEFTOVER_PATIENCE: Micros = Micros::from_millis(150_000);
 /// A service waits this long for room where its image is.
 const IMAGE_PATIENCE: Micros = Micros::from_millis(2000);
 
@@ -97,6 +101,17 @@
     Some(job.arrived + Micros::from_secs(due - job.spec.estimate_s))
 }
 
+/// Whether a job takes only what others leave: work of low priority that may use
+/// spot machines and still has the time. On an ordinary machine it starts where
+/// other work keeps the machine at least as long.
+pub fn takes_leftovers(site: &Site, job: &Job, now: Micros) -> bool {
+    let late = match latest_start(site, job) {
+        Some(at) => now + LEFTOVER_MARGIN >= at,
+        None => now.since(job.arrived) > LEFTOVER_PATIENCE,
+    };
+    job.spec.priority == Priority::Low && job.spec.spot && !late
+}
+
 /// How many of the times by which a job should be done it can no longer keep.
 /// It lets others go first that can: time spent on it would make them late as
 /// well. Not for ever: after a while its age counts again.
@@ -235,7 +250,29 @@
         }
         let half_life = site.settings.operator.estimate_s;
         self.estimate.observe(&holding, half_life, now);
-        let demands = self.estimate.demands(&holding, half_life);
+        let mut demands = self.estimate.demands(&holding, half_life);
+        // A backlog of low priority, however large, is split only what the
+        // others leave: it would hold most of the slots against them otherwise.
+        let higher: BTreeSet<Rc<ClassKey>> = self
+            .jobs
+            .values()
+            .filter(|j| j.spec.priority > Priority::Low)
+            .map(|j| j.class.clone())
+            .collect();
+        let is_low = |c: &Rc<ClassKey>| holding.contains_key(c) && !higher.contains(c);
+        let slots: f64 = rooms.iter().map(|r| self.kinds[r.kind].cpus).sum();
+        let (mut low, mut rest) = (0.0, 0.0);
+        for (class, demand) in &demands {
+            *(if is_low(class) { &mut low } else { &mut rest }) += demand.load;
+        }
+        let left = (slots - rest).max(0.0);
+        if low > left {
+            for (class, demand) in &mut demands {
+                if is_low(class) {
+                    demand.load *= left / low;
+                }
+            }
+        }
         self.pools.clear();
         for (i, gpu) in [false, true].into_iter().enumerate() {
             let k: f64 = rooms
@@ -308,6 +345,7 @@
             by_kind: vec![vec![]; self.kinds.len()],
             rooms: vec![],
             full: BTreeMap::new(),
+            no_leftovers: BTreeMap::new(),
             excess: BTreeMap::new(),
             looks: 0,
             now,
@@ -399,6 +437,10 @@
         if again {
             self.next_room = now + Micros::from_millis(200);
         }
+        let any_low = self
+            .jobs
+            .values()
+            .any(|j| j.held > 0 && j.spec.priority == Priority::Low && !j.is_service());
         for (_, id) in order.iter().filter(|_| again) {
             if pass.looks > LOOKS {
                 break;
@@ -408,7 +450,10 @@
                     return false;
                 }
                 let waited = now.since(j.arrived) >= GUARANTEE_PATIENCE;
-                !j.waiting.is_empty() && (j.spec.priority == Priority::Production || (waited && within.contains(id)))
+                // Others take room back from work of low priority.
+                let higher = waited && any_low && j.spec.priority > Priority::Low;
+                !j.waiting.is_empty()
+                    && (j.spec.priority == Priority::Production || (waited && within.contains(id)) || higher)
             });
             if wants {
                 self.make_room(&mut pass, site, id, &within);
@@ -468,6 +513,7 @@
         let mut borrowed = 0;
         // A job that fails everywhere is tried with one task at a time.
         let suspect = job.is_suspect(pass.now);
+        let leftovers = takes_leftovers(site, job, pass.now);
         while let Some(task) = job.waiting.first().copied() {
             if pass.starts >= STARTS || (suspect && job.held > 0) {
                 return false;
@@ -488,7 +534,9 @@
                 return false;
             }
             let image_at = self.image_at.get(job.spec.image.as_str());
-            let Some((best, there)) = pass.best_room(job, &zones, &kinds, &self.kinds, image_at, &self.machines) else {
+            let Some((best, there)) =
+                pass.best_room(job, leftovers, &zones, &kinds, &self.kinds, image_at, &self.machines)
+            else {
                 job.stuck_since.get_or_insert(pass.now);
                 return false;
             };
@@ -605,7 +653,11 @@
                 }
                 let room = &mut pass.rooms[i];
                 let mut lower = self.victims(&room.name, |j, p| {
-                    j.spec.priority < spec.priority
+                    // What is stopped must still be done in its time.
+                    let spare = spec.priority == Priority::Production
+                        || pass.now.since(p.since) < YOUNG
+                        || takes_leftovers(site, j, pass.now);
+                    (j.spec.priority < spec.priority && spare)
                         || (guaranteed
                             && pass.now.since(p.since) < YOUNG
                             && j.spec.priority <= spec.priority
@@ -773,6 +825,9 @@
     /// For tasks of a size, how many rooms of each kind from the first on are
     /// too full: room only gets less while work is started.
     full: BTreeMap<Size, Vec<usize>>,
+    /// For tasks of a size that take leftovers, the shortest for which no
+    /// ordinary machine was found in this pass.
+    no_leftovers: BTreeMap<Size, f64>,
     /// CPUs that each team holds beyond its guarantee.
     excess: BTreeMap<String, f64>,
     held: BTreeMap<String, (f64, f64)>,
@@ -808,9 +863,11 @@
     /// The best machine for the job's next task, and whether its image is
     /// there: images first for a service, then a fixed order, so that others
     /// fall idle and can be returned.
+    #[allow(clippy::too_many_arguments)]
     fn best_room(
         &mut self,
         job: &Job,
+        leftovers: bool,
         zones: &BTreeMap<String, u32>,
         groups: &[Vec<usize>; 2],
         kinds: &[Kind],
@@ -843,6 +900,12 @@
                 }
             }
             let size = (spec.cpus.to_bits(), spec.gpus.to_bits(), spec.memory.to_bits());
+            let none_left = |k: &Kind| {
+                let shortest = self.no_leftovers.get(&size);
+                leftovers && !k.spot && shortest.is_some_and(|least| spec.estimate_s >= *least)
+            };
+            let open: Vec<usize> = open.into_iter().filter(|k| !none_left(&kinds[*k])).collect();
+            let ordinary = open.iter().any(|k| !kinds[*k].spot);
             let full = self.full.entry(size).or_insert_with(|| vec![0; kinds.len()]);
             // The machine of the largest size with room whose work goes on the
             // least longer for this task, and of those the oldest.
@@ -870,6 +933,10 @@
                             continue;
                         }
                         let longer = end.since(room.until).0 / LONGER.0;
+                        if leftovers && !kinds[kind].spot && longer > 0 {
+                            at += 1;
+                            continue;
+                        }
                         if best.is_none_or(|(_, l, b)| (longer, i) < (l, b)) {
                             best = Some((cpus, longer, i));
                             if longer == 0 {
@@ -884,6 +951,9 @@
                 let there = image_at.is_some_and(|a| a.contains(&self.rooms[i].name));
                 return Some((i, there));
             }
+            if leftovers && ordinary {
+                self.no_leftovers.insert(size, spec.estimate_s);
+            }
         }
         None
     }
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -367,6 +367,9 @@
         spec.one_zone = w.has("together");
         spec.spread = w.has("apart");
         spec.spot = w.has("spot");
+        if w.has("low") {
+            spec.priority = Priority::Low;
+        }
         if w.has("service") {
             spec.shape = Shape::Service;
             spec.priority = Priority::Production;
