--- /dev/null
+++ b/crates/units/src/lib.rs
@@ -0,0 +1,52 @@
+//! Times as whole microseconds.
+#![forbid(unsafe_code)]
+
+use std::ops::{Add, Sub};
+
+/// A point on the steady clock, or a span of it, in whole microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Micros(pub u64);
+
+impl Micros {
+    /// The start of the clock, and the empty span.
+    pub const ZERO: Micros = Micros(0);
+
+    /// A span from seconds as the platform writes them; anything that is not a
+    /// positive number counts as none, since spans come from outside input.
+    pub fn from_secs(seconds: f64) -> Micros {
+        if seconds.is_finite() && seconds > 0.0 {
+            Micros((seconds * 1e6) as u64)
+        } else {
+            Micros::ZERO
+        }
+    }
+
+    /// A span from whole milliseconds.
+    pub const fn from_millis(millis: u64) -> Micros {
+        Micros(millis * 1000)
+    }
+
+    /// The span in seconds.
+    pub fn secs(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    /// The time since `earlier`; none if `earlier` is later.
+    pub fn since(self, earlier: Micros) -> Micros {
+        Micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add for Micros {
+    type Output = Micros;
+    fn add(self, other: Micros) -> Micros {
+        Micros(self.0.saturating_add(other.0))
+    }
+}
+
+impl Sub for Micros {
+    type Output = Micros;
+    fn sub(self, other: Micros) -> Micros {
+        self.since(other)
+    }
+}
