Cut zones are left in time; ordinary machines are rented by what they are worth

Cause: machines of a cut zone got new work for two report periods, new ones were rented there, silence of machines heard by way of a far controller never counted, and room for the far services was looked for only after their machines were given up. Ordinary machines were rented for a backlog by factors of 2.5 and 0.7. Images of all kinds were fetched on one machine at a time: services waited 28 to 44 s for theirs. After a takeover all jobs counted as new.

Change: coordination/cuts.rs (zones), worth.rs (rentals), aims.rs (the account; the log says who is behind and why), images in placement, the smaller of machines alike in price, when jobs came in the book's pages. Stand-ins know a zone cut from everything; scenarios zone-off, zone-off-leader-inside (seen to fail without the mend: 148 to 300 and 212 to 568 replica seconds missed instead of 24 to 136), zone-off-shortly.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -86,6 +86,13 @@
     pub seen: u64,
     #[serde(rename = "e")]
     pub entries: Vec<Entry>,
+    /// When it was written, in milliseconds of the book: a clock that every leader
+    /// goes on with where the one before it stopped. 0: not said.
+    #[serde(rename = "m", default)]
+    pub at_ms: u64,
+    /// When the jobs that it describes came, in the order of their entries.
+    #[serde(rename = "b", default)]
+    pub born_ms: Vec<u64>,
 }
 
 /// A rental request; the machines are filled in when the cloud has answered.
--- a/src/coordination/book.rs
+++ b/src/coordination/book.rs
@@ -38,6 +38,8 @@
     Exited(Cause),
 }
 
+/// The account of classes and teams forgets half in this time.
+const ACCOUNT: Micros = Micros::from_millis(120_000);
 /// A replica that has run for this long does well.
 const RUNS_WELL: Micros = Micros::from_millis(20_000);
 
@@ -111,6 +113,11 @@
     /// Machines it failed on since a task of it last completed.
     pub failed_on: BTreeSet<MachineId>,
     pub told: (u32, u32),
+    /// What is expected of it; `None`: it has not been looked at.
+    pub aims: Option<Vec<super::aims::JobAim>>,
+    /// An earlier leader had it; and when it came is not known.
+    pub restored: bool,
+    pub ageless: bool,
     /// Since when no machine that is up has had room for it.
     pub stuck_since: Option<Micros>,
 }
@@ -143,6 +150,9 @@
             runs: (0.0, 0),
             failed_on: BTreeSet::new(),
             told: (0, 0),
+            aims: None,
+            restored: false,
+            ageless: false,
             stuck_since: None,
             spec,
         }
@@ -253,6 +263,8 @@
     pub room: Option<usize>,
     /// Images fetched here, the last used at the back.
     pub images: VecDeque<(Rc<str>, f64)>,
+    /// Images that tasks placed here have yet to fetch.
+    pub fetching: BTreeSet<Rc<str>>,
     pub idle_since: Option<Micros>,
     /// An outcome was recorded: the exited task may be forgotten.
     pub to_forget: bool,
@@ -315,6 +327,8 @@
     pub cpus: f64,
     pub gpus: f64,
     pub memory: f64,
+    /// How fast it fetches images.
+    pub fetch_gb_per_s: f64,
 }
 
 /// The leader's state; built from the state service and from reports, dropped
@@ -359,8 +373,12 @@
     pub next_machines: Micros,
     pub next_pace: Micros,
     pub next_care: Micros,
-    /// Controllers that were not heard, and when that was last so.
-    pub lost_nodes: BTreeMap<String, Micros>,
+    /// What is known of the other controllers.
+    pub nodes: BTreeMap<String, super::cuts::NodeSign>,
+    /// What each class and team asked for and got.
+    pub account: glenhaven_served::Account,
+    /// Zones that are cut off.
+    pub zones: glenhaven_zones::Zones,
     /// Versions of what other nodes say they keep, as last read.
     pub care: BTreeMap<String, u64>,
 }
@@ -406,7 +424,9 @@
             next_machines: now,
             next_pace: now,
             next_care: now,
-            lost_nodes: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            account: glenhaven_served::Account::new(ACCOUNT),
+            zones: glenhaven_zones::Zones::default(),
             care: BTreeMap::new(),
         }
     }
@@ -582,6 +602,7 @@
     /// longer fit its cache.
     pub fn use_image(&mut self, name: &MachineId, image: &str, gb: f64, cache_gb: f64) {
         let Some(m) = self.machines.get_mut(name) else { return };
+        m.fetching.remove(image);
         if m.images.back().is_some_and(|(last, _)| **last == *image) {
             return;
         }
@@ -608,6 +629,7 @@
     /// A machine's images are gone.
     pub fn drop_images(&mut self, name: &MachineId) {
         let Some(m) = self.machines.get_mut(name) else { return };
+        m.fetching.clear();
         for (image, _) in std::mem::take(&mut m.images) {
             if let Some(at) = self.image_at.get_mut(&image) {
                 at.remove(name);
--- a/src/coordination/commit.rs
+++ b/src/coordination/commit.rs
@@ -42,7 +42,9 @@
 /// Room in a transaction, below the service's 64 KiB.
 const TXN_BYTES: usize = 54 * 1024;
 /// What a page holds beside its entries.
-const PAGE_FRAME: usize = 160;
+const PAGE_FRAME: usize = 200;
+/// What a page holds for each job it describes beside its entry.
+const BORN: usize = 14;
 const TIMEOUT: Micros = Micros::from_millis(700);
 /// Outcomes are recorded after this long at the latest.
 const OUTCOME_DELAY: Micros = Micros::from_millis(1000);
@@ -126,6 +128,8 @@
     flying: Option<Box<InFlight>>,
     resend_at: Option<Micros>,
     last_sent: Micros,
+    /// What the book's clock is ahead of this process's, in milliseconds.
+    ahead_ms: i64,
     /// Jobs closed by this leader, against late news of their acceptance.
     closed: BTreeSet<JobId>,
     /// Pages that still say something, oldest first.
@@ -167,6 +171,16 @@
         self.pages.len()
     }
 
+    /// The book's clock, in milliseconds.
+    fn book_ms(&self, at: Micros) -> u64 {
+        ((at.0 / 1000) as i64 + self.ahead_ms).max(1) as u64
+    }
+
+    /// A time of the book's clock on this process's.
+    fn on_own_clock(&self, ms: u64) -> Micros {
+        Micros((ms as i64 - self.ahead_ms).max(0) as u64 * 1000)
+    }
+
     pub fn term_raised(&mut self) {
         // A transaction in flight either was executed under the old term or
         // fails on its condition; its answer tells which.
@@ -195,7 +209,8 @@
 
     /// Adds an entry; the index of its page, or `None` if there is no room left.
     fn add(&mut self, entry: Entry) -> Option<usize> {
-        let size = json_size(&entry) + 2;
+        let born = if matches!(entry, Entry::Open(..)) { BORN } else { 0 };
+        let size = json_size(&entry) + 2 + born;
         if self.total + size > TXN_BYTES {
             return None;
         }
@@ -323,7 +338,8 @@
         }
     }
 
-    fn finish_loading(&mut self, sh: &mut Shared) {
+    /// `gap`: about how long nobody led.
+    fn finish_loading(&mut self, sh: &mut Shared, gap: Micros) {
         let Some(loading) = self.committer.loading.take() else {
             return;
         };
@@ -331,10 +347,15 @@
         let mut pages = loading.pages;
         pages.sort_by_key(|p| p.2.seq);
         let oldest = pages.iter().map(|p| p.2.oldest).max().unwrap_or(0);
+        let last_ms = pages.iter().map(|p| p.2.at_ms).max().unwrap_or(0);
+        if last_ms > 0 {
+            let book_ms = last_ms.min(1 << 50) + gap.0 / 1000;
+            self.committer.ahead_ms = book_ms as i64 - (now.0 / 1000) as i64;
+        }
         self.committer.last_seq = pages.last().map_or(0, |p| p.2.seq);
         self.committer.seen = pages.iter().map(|p| p.2.seen).max().unwrap_or(0);
         self.committer.slots = pages.iter().map(|p| p.0 + 1).max().unwrap_or(0);
-        let mut open: BTreeMap<String, (u64, u64, bool, Spec)> = BTreeMap::new();
+        let mut open: BTreeMap<String, (u64, u64, bool, Spec, u64)> = BTreeMap::new();
         let mut parts: BTreeMap<String, BTreeMap<u32, LoadedPart>> = BTreeMap::new();
         let mut claims: BTreeMap<String, (u64, ClaimValue)> = BTreeMap::new();
         for (slot, version, page) in pages {
@@ -344,10 +365,12 @@
                 continue;
             }
             self.committer.pages.push_back(PageMeta { slot, seq, version });
+            let mut born = page.born_ms.into_iter();
             for entry in page.entries {
                 match entry {
                     Entry::Open(version, cancelled, spec) => {
-                        open.insert(spec.id.clone(), (seq, version, cancelled, *spec));
+                        let born = born.next().unwrap_or(0);
+                        open.insert(spec.id.clone(), (seq, version, cancelled, *spec, born));
                     }
                     Entry::Part(p) => {
                         let part = parts.entry(p.job).or_default().entry(p.part).or_default();
@@ -379,9 +402,14 @@
                 }
             }
         }
-        for (id, (base, version, cancelled, spec)) in open {
+        for (id, (base, version, cancelled, spec, born)) in open {
             let mut job = Job::new(&id, spec, version, now);
             job.base = base;
+            job.restored = true;
+            job.ageless = born == 0;
+            if born > 0 {
+                job.arrived = self.committer.on_own_clock(born).min(now);
+            }
             for (n, part) in parts.remove(&id).unwrap_or_default() {
                 self.restore_part(&mut job, n, part, now);
             }
@@ -748,7 +776,7 @@
         if w.is_empty() {
             return;
         }
-        self.seal(&mut f, w, seq, lead);
+        self.seal(&mut f, w, seq, lead, now);
         let urgent = starts > 0 || !f.claims.is_empty();
         let urgency = if urgent { Urgency::Start } else { Urgency::User };
         self.committer.written.0 += 1;
@@ -850,7 +878,7 @@
     }
 
     /// Turns entries into pages of the transaction.
-    fn seal(&mut self, f: &mut InFlight, w: Writer, seq: u64, lead: &Leadership) {
+    fn seal(&mut self, f: &mut InFlight, w: Writer, seq: u64, lead: &Leadership, now: Micros) {
         let jobs = &self.jobs;
         let unseen = |(version, id): &(u64, JobId)| {
             let job = jobs.get(id)?;
@@ -865,7 +893,16 @@
         f.seen = first
             .map_or(known, |v| known.min(v.saturating_sub(1)))
             .max(self.committer.seen);
+        let at_ms = self.committer.book_ms(now);
         for (i, entries) in w.pages.into_iter().enumerate() {
+            let born = |entry: &Entry| match entry {
+                Entry::Open(_, _, spec) => {
+                    let job = jobs.get(spec.id.as_str()).filter(|j| !j.ageless);
+                    Some(job.map_or(0, |j| self.committer.book_ms(j.arrived)))
+                }
+                _ => None,
+            };
+            let born_ms: Vec<u64> = entries.iter().filter_map(born).collect();
             let (slot, version) = self.committer.free.pop().unwrap_or_else(|| {
                 self.committer.slots += 1;
                 (self.committer.slots - 1, 0)
@@ -876,6 +913,8 @@
                 seq: seq + i as u64,
                 oldest: f.oldest,
                 seen: f.seen,
+                at_ms,
+                born_ms,
                 entries,
             };
             f.txn.conditions.push(Condition {
@@ -1077,7 +1116,8 @@
             LeaderWait::Pages | LeaderWait::News | LeaderWait::AllJobs => {
                 if leader.loaded_rows(&wait, answer) {
                     leader.chunk_tasks = records::chunk_tasks(self.site.settings.params.state.value_kb);
-                    leader.finish_loading(sh);
+                    let gap = Micros::from_secs(self.site.settings.operator.leader_lease_s);
+                    leader.finish_loading(sh, gap);
                     self.take_early_reports();
                 }
             }
@@ -1215,6 +1255,7 @@
             tasks: BTreeSet::new(),
             strangers: 0,
             images: VecDeque::new(),
+            fetching: BTreeSet::new(),
             kind: None,
             used: [0.0; 3],
             services: 0,
--- /dev/null
+++ b/src/coordination/cuts.rs
@@ -0,0 +1,139 @@
+//! Zones that are cut off from the leader: what is heard of each, and what is
+//! moved out of them. The decisions are those of `glenhaven-zones`.
+
+use super::book::{Leader, Machine, MachineId, MachineState};
+use super::Site;
+use crate::time::Micros;
+use glenhaven_zones::{in_step, Change, Far, Move, Sign, Times};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A worker gives up an answer after 4 s and tries the next controller a second
+/// later; where that one is lost too, the third hears it.
+const REHOME: Micros = Micros::from_millis(10_000);
+
+/// What the leader knows of another controller.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeSign {
+    /// When it was last heard.
+    heard: Micros,
+    /// Since when it was last not heard any more, and whether that is so now.
+    lost: Option<Micros>,
+    is_lost: bool,
+}
+
+impl Leader {
+    /// Another controller was last heard then.
+    pub fn hear_node(&mut self, name: &str, heard: Micros, limit: Micros, now: Micros) {
+        if !self.nodes.contains_key(name) {
+            let sign = NodeSign {
+                heard,
+                lost: None,
+                is_lost: false,
+            };
+            self.nodes.insert(name.to_string(), sign);
+        }
+        let Some(node) = self.nodes.get_mut(name) else { return };
+        node.heard = heard;
+        let lost = now.since(heard) > limit;
+        if lost && !node.is_lost {
+            node.lost = Some(now);
+        }
+        node.is_lost = lost;
+    }
+
+    /// From when on the silence of a machine counts: the leader hears it from
+    /// then on, and its workers have found another controller if they lost theirs.
+    pub fn listens_to(&self, m: &Machine, now: Micros) -> Micros {
+        let node = m.via.as_deref().and_then(|name| self.nodes.get(name));
+        let found = node
+            .and_then(|n| n.lost)
+            .map_or(Micros::ZERO, |at| now.min(at + REHOME));
+        self.listens_since.max(found)
+    }
+
+    /// Looks at what is heard of every zone.
+    pub fn look_at_zones(&mut self, site: &Site, now: Micros) {
+        let mut signs: BTreeMap<&str, Sign> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| !m.zone.is_empty()) {
+            let sign = signs.entry(&m.zone).or_default();
+            sign.heard = sign.heard.max(m.last_report);
+            sign.kept = sign.kept.max(m.kept_at);
+            let reports = m.session > 0 || !m.tasks.is_empty();
+            sign.machines += usize::from(reports && m.state != MachineState::Doomed);
+        }
+        for peer in &site.settings.peers {
+            let sign = signs.entry(&peer.zone).or_default();
+            sign.controllers += 1;
+            let heard = self.nodes.get(&peer.node).map_or(Micros::ZERO, |n| n.heard);
+            sign.controller_heard = sign.controller_heard.max(heard);
+        }
+        signs.entry(&site.settings.zone).or_default().own = true;
+        let signs: Vec<Sign> = signs
+            .into_iter()
+            .map(|(zone, sign)| Sign {
+                zone: zone.to_string(),
+                ..sign
+            })
+            .collect();
+        for change in self.zones.look(&signs, &times(site), self.listens_since, now) {
+            self.dirty = true;
+            match change {
+                Change::Cut { zone, since } => {
+                    let silent_s = now.since(since).secs();
+                    tracing::info!(zone, silent_s, "zone cut off: nothing new goes there");
+                }
+                Change::Back { zone, after } => tracing::info!(zone, after_s = after.secs(), "zone heard again"),
+            }
+        }
+    }
+
+    /// What is to be moved out of this zone.
+    pub fn moves_out(&self, site: &Site, zone: &str, now: Micros) -> Move {
+        self.zones.moves(zone, &times(site), now)
+    }
+
+    /// Machines of cut-off zones whose arrays there is room for elsewhere by now.
+    pub fn released_in_step(&self, site: &Site, now: Micros) -> BTreeSet<MachineId> {
+        let mut far = vec![];
+        let mut room = 0.0;
+        let silent = Self::work_silence(site);
+        for m in self.machines.values() {
+            let cores = site.catalogue.get(&m.machine_type).map_or(0.0, |t| t.cpus);
+            if !self.zones.is_cut(&m.zone) {
+                if m.takes_work(now, silent) {
+                    room += cores - m.used[0];
+                }
+            } else if m.services == 0 && m.state == MachineState::Up && self.moves_out(site, &m.zone, now) == Move::All
+            {
+                far.push(Far {
+                    machine: m.name.clone(),
+                    cores: m.used[0],
+                    heard: m.last_report,
+                });
+            }
+        }
+        if far.is_empty() {
+            return BTreeSet::new();
+        }
+        let waits = |j: &&super::book::Job| j.is_live() && !j.is_suspect(now);
+        let waiting: f64 = self
+            .jobs
+            .values()
+            .filter(waits)
+            .map(|j| j.waiting.len() as f64 * j.spec.cpus)
+            .sum();
+        let services: f64 = self
+            .machines
+            .values()
+            .filter(|m| m.services > 0 && self.zones.is_cut(&m.zone))
+            .map(|m| m.used[0])
+            .sum();
+        in_step(far, room - waiting - services).into_iter().collect()
+    }
+}
+
+/// The times that decide about zones.
+fn times(site: &Site) -> Times {
+    let w = &site.settings.params.workers;
+    Times::new(w.report_s, w.lease_s)
+}
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -1,7 +1,8 @@
 //! Renting and returning machines: for what waits and what is coming; late and
 //! dead boots given up, silent machines released, unexpected ones adopted.
 
-use super::book::{Leader, Machine, MachineId, MachineState};
+use super::aims::NO_HURRY_S;
+use super::book::{Leader, Machine, MachineId, MachineState, Stage};
 use super::placement::{allowed, latest_start, open_zones, takes_leftovers};
 use super::{CloudAnswer, CloudRequest, Core, Effect, Shared, Site};
 use crate::bookkeeping::records::ClaimValue;
@@ -9,6 +10,7 @@
 use crate::protocol::users::{Priority, Spec};
 use crate::time::Micros;
 use crate::transport::pace::Bucket;
+use glenhaven_zones::Move;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -16,20 +18,10 @@
 /// A type, zone and kind without capacity is asked for again after this long.
 const NO_CAPACITY: Micros = Micros::from_millis(8000);
 
-/// Work that may use spot machines gets ordinary ones as well only for what
-/// exceeds the spot machines by this factor: they cost more than twice as much,
-/// and what little is over the room is served as tasks end.
-const PATIENCE: f64 = 2.5;
 /// A machine on which tasks fail is returned after this long.
 const FAULTY: Micros = Micros::from_millis(15_000);
-/// Work of low priority that nobody expects at any time is done in about this.
-const NO_HURRY_S: f64 = 300.0;
 /// How long a machine that only another node hears is left alone.
 const KEPT_LIMIT: Micros = Micros::from_millis(45_000);
-/// Share of the room that tasks give back during a boot that what waits now
-/// gets; what comes meanwhile takes the rest.
-const TURNOVER: f64 = 0.7;
-
 /// Machines asked for at once: so many even if that is all of a need, and the
 /// most that the cloud takes.
 const BATCH: f64 = 6.0;
@@ -114,6 +106,8 @@
     blocked: BTreeMap<(String, String, bool), Micros>,
     releasing: usize,
     next_decide: Micros,
+    /// When ordinary machines are thought of again.
+    next_advice: Micros,
     /// Decayed demand of work that may use spot machines, in cores.
     average: f64,
     average_at: Option<Micros>,
@@ -131,6 +125,7 @@
             blocked: BTreeMap::new(),
             releasing: 0,
             next_decide: now,
+            next_advice: now,
             average: 0.0,
             average_at: None,
         }
@@ -204,7 +199,7 @@
     }
 
     /// Machines asked for and not yet named.
-    fn coming(&self) -> impl Iterator<Item = &ClaimValue> {
+    pub fn coming(&self) -> impl Iterator<Item = &ClaimValue> {
         self.claims
             .iter()
             .filter(|c| matches!(c.state, ClaimState::Wanted | ClaimState::Recorded | ClaimState::Asked))
@@ -416,15 +411,18 @@
             }
         };
         // Where a node is lost, its workers find another one first.
-        let listens = |m: &Machine| {
-            let lost = m.via.as_deref().and_then(|node| self.lost_nodes.get(node)).copied();
-            self.listens_since.max(lost.unwrap_or(Micros::ZERO))
-        };
+        let listens = |m: &Machine| self.listens_to(m, now);
+        // A zone that is cut off says nothing of the node that heard it.
+        let cut_off = |m: &Machine| self.zones.is_cut(&m.zone);
         // Half of the machines that one node hears silent at once says more about
         // that node than about the machines; they get as long as their leases
         // last.
         let mut heard_by: BTreeMap<Option<Rc<str>>, (usize, usize)> = BTreeMap::new();
-        for m in self.machines.values().filter(|m| m.state == MachineState::Up) {
+        for m in self
+            .machines
+            .values()
+            .filter(|m| m.state == MachineState::Up && !cut_off(m))
+        {
             let quiet = now.since(m.last_report.max(m.kept_at).max(listens(m))) > silent;
             let group = heard_by.entry(m.via.clone()).or_default();
             group.0 += 1;
@@ -447,12 +445,17 @@
             .filter(|p| now.since(p.stop_at) > Micros::from_secs(w.cancel_s * 0.5))
             .map(|p| p.machine.clone())
             .collect();
+        let released = self.released_in_step(site, now);
+        let zones = &self.zones;
         for m in self.machines.values_mut().filter(|m| m.state != MachineState::Doomed) {
             let listens = listening.get(&m.name).copied().unwrap_or(self.listens_since);
             // What another node keeps runs on, but nothing that ends there can be
             // recorded: a short cut is sat out, a long one is not.
             let sat_out = now.since(m.last_report.max(listens)) < KEPT_LIMIT;
             let kept_at = if sat_out { m.kept_at } else { Micros::ZERO };
+            // In a zone that is cut off, leases run on from the last report.
+            let known = zones.is_cut(&m.zone) && m.last_report > Micros::ZERO;
+            let listens = if known { Micros::ZERO } else { listens };
             let unheard = now.since(m.last_report.max(kept_at).max(listens));
             let boot = site.catalogue.get(&m.machine_type).map_or(60.0, |t| t.boot_s);
             let why = match m.state {
@@ -462,7 +465,10 @@
                     let late = boots.pace(m).is_dead(now.since(m.since), boot);
                     (late && heard).then_some("never came up")
                 }
-                _ if unheard > patience(m) && (!doubted.contains(&m.via) || unheard > patience(m) + lease) => {
+                _ if released.contains(&m.name) => Some("there is room for its work outside its zone"),
+                _ if unheard > patience(m)
+                    && (zones.is_cut(&m.zone) || !doubted.contains(&m.via) || unheard > patience(m) + lease) =>
+                {
                     Some("silent")
                 }
                 _ if m.taken_at.is_some_and(|at| now > at) && unheard > Micros::from_secs(w.report_s * 1.5 + 1.0) => {
@@ -602,7 +608,17 @@
         } else {
             0.0
         };
-        let want_flexible = flexible.max(self.fleet.average * headroom);
+        // What runs on in a cut-off zone is not replaced yet, or its room is not
+        // counted any more.
+        let cuts: BTreeMap<&str, Move> = self
+            .machines
+            .values()
+            .filter(|m| self.zones.is_cut(&m.zone))
+            .map(|m| (&*m.zone, self.moves_out(site, &m.zone, now)))
+            .collect();
+        let far = self.held_far(site, &cuts);
+        let want_ordinary = (want_ordinary - far[0]).max(0.0);
+        let want_flexible = (flexible.max(self.fleet.average * headroom) - far[1]).max(0.0);
         let mut supply = [Supply::default(); 2];
         for m in self.machines.values() {
             let Some(t) = site.catalogue.get(&m.machine_type) else {
@@ -620,12 +636,13 @@
                 && m.taken_at.is_none()
                 && now >= m.doubted_until
                 && now >= m.slow_until
-                && !away;
+                && !away
+                && !self.zones.is_cut(&m.zone);
             if usable {
                 supply[usize::from(m.spot)].cores += t.cpus * counted;
             }
         }
-        for claim in self.fleet.coming() {
+        for claim in self.fleet.coming().filter(|c| !self.zones.is_cut(&c.zone)) {
             if let Some(t) = site.catalogue.get(&claim.machine_type) {
                 supply[usize::from(claim.spot)].cores += t.cpus * f64::from(claim.count);
             }
@@ -641,12 +658,13 @@
                 .jobs
                 .values()
                 .any(|j| j.is_live() && j.spec.spot && !j.waiting.is_empty());
-            if !self.rent(site, now, true, missing) && waits {
-                // No spot machine is to be had: ordinary ones for what waits.
-                let missing = self.worth_ordinary(site, flexible, now) - spare - supply[1].cores;
-                if missing > 1.0 {
-                    self.rent(site, now, false, missing);
-                }
+            if !self.rent(site, now, true, missing) && waits && now >= self.fleet.next_advice {
+                // No spot machine is to be had: ordinary ones for what is worth it.
+                let others = (want_ordinary - supply[0].cores).max(0.0);
+                let advice = self.worth_ordinary(site, others, now);
+                let rents = advice.cores > 0.5 && self.rent(site, now, false, advice.cores);
+                let pause = if rents { 250 } else { 1000 };
+                self.fleet.next_advice = now + Micros::from_millis(pause);
             }
         }
         let enough = supply[0].cores + supply[1].cores >= ordinary + flexible;
@@ -654,42 +672,29 @@
         self.return_idle(site, now, want_ordinary, want_flexible, supply);
     }
 
-    /// Cores for work that may use spot machines which are worth ordinary ones
-    /// when no spot machine is to be had: what waits and can still be done in
-    /// time on a machine that has yet to boot, and a part of all else, so that
-    /// a backlog does not grow without end.
-    fn worth_ordinary(&self, site: &Site, flexible: f64, now: Micros) -> f64 {
-        let boots: Vec<f64> = site.catalogue.values().map(|t| t.boot_s).collect();
-        let boot = boots.iter().sum::<f64>() / boots.len().max(1) as f64;
-        let (mut held, mut helped, mut freed, mut low) = (0.0, 0.0, 0.0, 0.0);
-        for job in self.jobs.values().filter(|j| j.spec.spot) {
-            let cores = effective_cores(&job.spec, site);
-            held += f64::from(job.held) * cores;
-            // What runs now makes room while a machine boots.
-            freed += f64::from(job.held) * cores * (boot / job.spec.estimate_s.max(1.0)).min(1.0) * TURNOVER;
-            let fetch = site
-                .catalogue
-                .values()
-                .map(|t| job.spec.image_gb / t.fetch_gb_per_s.max(0.01))
-                .fold(f64::INFINITY, f64::min);
-            let up = now + Micros::from_secs(boot * 1.1 + fetch.min(60.0));
-            let in_time = latest_start(site, job).is_none_or(|at| up <= at);
-            if job.is_live() && in_time {
-                // Work of low priority that has the time waits for spot machines.
-                if !takes_leftovers(site, job, now) {
-                    helped += worth_renting(site, job, now) * cores;
+    /// Cores held in cut-off zones by work that is not to be moved yet: (needs
+    /// ordinary machines, may use spot machines).
+    fn held_far(&self, site: &Site, cuts: &BTreeMap<&str, Move>) -> [f64; 2] {
+        let mut held = [0.0; 2];
+        for m in self.machines.values() {
+            let Some(step) = cuts.get(&*m.zone) else { continue };
+            for (id, task) in &m.tasks {
+                let Some(job) = self.jobs.get(id) else { continue };
+                let holds = job
+                    .placed
+                    .get(task)
+                    .is_some_and(|p| !matches!(p.stage, Stage::Exited(_)));
+                let stays = match step {
+                    Move::Nothing => true,
+                    Move::Services => job.spec.spot,
+                    Move::All => false,
+                };
+                if holds && stays {
+                    held[usize::from(job.spec.spot)] += effective_cores(&job.spec, site);
                 }
             }
-            if job.spec.priority == Priority::Low {
-                low += f64::from(job.held) * cores + worth_renting(site, job, now) * cores;
-            }
-        }
-        let least = (flexible - low).max(0.0) / PATIENCE;
-        if helped > freed {
-            least.max((held + helped - freed).min(flexible))
-        } else {
-            least
         }
+        held
     }
 
     /// Rents for jobs that no machine has room for although there are cores
@@ -804,7 +809,7 @@
         let mut best: Option<(f64, usize, String, &MachineType)> = None;
         for t in site.catalogue.values() {
             let price = if spot { t.spot_price } else { t.price };
-            for zone in t.zones.iter().filter(|z| zone_open(z)) {
+            for zone in t.zones.iter().filter(|z| zone_open(z) && !self.zones.is_cut(z)) {
                 let key = (t.name.clone(), zone.clone(), spot);
                 if self.fleet.blocked.get(&key).is_some_and(|until| now < *until) {
                     continue;
@@ -826,7 +831,10 @@
                     .count();
                 let better = match &best {
                     None => true,
-                    Some((c, n, _, _)) => cost < c * 0.97 || (cost < c * 1.03 && here < *n),
+                    Some((c, n, _, b)) => {
+                        let alike = cost < c * 1.03;
+                        cost < c * 0.97 || (alike && t.cpus < b.cpus) || (alike && t.cpus <= b.cpus && here < *n)
+                    }
                 };
                 if better {
                     best = Some((cost, here, zone.clone(), t));
@@ -939,7 +947,7 @@
 
 /// Cores one task takes off a machine, counting memory it takes beyond its
 /// share of the cores.
-fn effective_cores(spec: &Spec, site: &Site) -> f64 {
+pub fn effective_cores(spec: &Spec, site: &Site) -> f64 {
     site.catalogue
         .values()
         .filter(|t| t.cpus >= spec.cpus && t.memory >= spec.memory && t.gpus >= spec.gpus)
--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -459,7 +459,7 @@
             self.lead.elect_at = None;
             return;
         }
-        if self.site.catalogue.is_empty() && now < Micros::from_secs(3.0) {
+        if self.site.catalogue.is_empty() && now.since(self.began) < Micros::from_secs(3.0) {
             return;
         }
         match self.lead.elect_at {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,9 +1,11 @@
 //! The single owner of all state. It takes batches of commands with the time
 //! and returns effects; there is no I/O, clock or global randomness inside.
 
+pub mod aims;
 pub mod book;
 pub mod boots;
 pub mod commit;
+pub mod cuts;
 pub mod desk;
 pub mod fleet;
 pub mod leadership;
@@ -12,6 +14,7 @@
 pub mod pools;
 pub mod store_queue;
 pub mod workers;
+pub mod worth;
 
 use crate::protocol::cloud::{Catalogue, Hosts, ListPage, MachineType, Rent};
 use crate::protocol::peer::{Link, PeerMessage};
@@ -253,8 +256,9 @@
     next_alive: Micros,
     started: bool,
     next_log: Micros,
-    /// When the last batch was worked through.
+    /// When the last batch was worked through, and when this process began.
     last_batch: Micros,
+    began: Micros,
 }
 
 impl Core {
@@ -288,6 +292,7 @@
             started: false,
             next_log: now,
             last_batch: now,
+            began: now,
         };
         core.set_rates();
         core
@@ -541,6 +546,7 @@
             self.next_log = now + Micros::from_secs(10.0);
             if let Some(leader) = self.leader.as_ref() {
                 leader.log_summary(&self.site, now);
+                leader.log_account(&self.site, now);
             }
         }
     }
@@ -558,9 +564,7 @@
         }
         let sure = self.lead.is_sure(self.sh.now);
         for (name, peer) in &self.peers {
-            if self.sh.now.since(peer.at) > HEARD {
-                leader.lost_nodes.insert(name.clone(), self.sh.now);
-            }
+            leader.hear_node(name, peer.at, HEARD, self.sh.now);
         }
         leader.tick_machines(&mut self.sh, &self.site, sure);
         leader.schedule(&mut self.sh, &self.site);
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -20,6 +20,11 @@
 const LOOKS: usize = 4000;
 /// Steps in which it is compared how much longer a machine would be held.
 const LONGER: Micros = Micros::from_millis(4000);
+/// Users wait for a service while it fetches its image: that counts so many times
+/// as much as a machine held longer.
+const USERS_WAIT: u64 = 20;
+/// Machines held no longer by a task that are compared for its image.
+const ALIKE: usize = 12;
 /// How long a service is taken to last.
 const SERVICE_LASTS: Micros = Micros::from_millis(600_000);
 /// Work within its team's guarantee waits this long for room to fall idle before
@@ -48,6 +53,8 @@
     until: Micros,
     /// Whether services run there.
     serves: bool,
+    /// Images that are yet to be fetched there.
+    fetching: usize,
 }
 
 impl Room {
@@ -139,7 +146,7 @@
 }
 
 /// What each team holds: CPUs and GPUs of every record not yet void.
-fn team_use(jobs: &BTreeMap<JobId, Job>) -> BTreeMap<String, (f64, f64)> {
+pub fn team_use(jobs: &BTreeMap<JobId, Job>) -> BTreeMap<String, (f64, f64)> {
     let mut held: BTreeMap<String, (f64, f64)> = BTreeMap::new();
     for job in jobs.values().filter(|j| j.held > 0) {
         let n = f64::from(job.held);
@@ -185,6 +192,7 @@
                 cpus: t.cpus,
                 gpus: t.gpus,
                 memory: t.memory,
+                fetch_gb_per_s: t.fetch_gb_per_s,
             });
             self.kinds.len() - 1
         })
@@ -211,7 +219,7 @@
         let mut rooms = Vec::with_capacity(self.machines.len());
         for m in self.machines.values_mut() {
             m.room = None;
-            if !m.takes_work(now, silent) {
+            if !m.takes_work(now, silent) || self.zones.is_cut(&m.zone) {
                 continue;
             }
             let Some(kind) = m.kind else { continue };
@@ -219,6 +227,7 @@
             m.room = Some(rooms.len());
             if m.tasks.is_empty() {
                 m.until = Micros::ZERO;
+                m.fetching.clear();
             }
             rooms.push(Room {
                 name: m.name.clone(),
@@ -228,6 +237,7 @@
                 memory: k.memory - m.used[2],
                 until: m.until,
                 serves: m.services > 0,
+                fetching: m.fetching.len(),
             });
         }
         rooms
@@ -466,7 +476,7 @@
 
     /// Jobs that fit into their team's guarantee together with the team's
     /// earlier unfinished ones.
-    fn within_guarantee(&self, site: &Site) -> BTreeSet<JobId> {
+    pub fn within_guarantee(&self, site: &Site) -> BTreeSet<JobId> {
         if site
             .settings
             .params
@@ -533,9 +543,9 @@
             if held.0 + job.spec.cpus > max_cpus + EPS || held.1 + job.spec.gpus > max_gpus + EPS {
                 return false;
             }
-            let image_at = self.image_at.get(job.spec.image.as_str());
-            let Some((best, there)) =
-                pass.best_room(job, leftovers, &zones, &kinds, &self.kinds, image_at, &self.machines)
+            let image_at = self.image_at.get_key_value(job.spec.image.as_str());
+            let at = image_at.map(|(_, at)| at);
+            let Some((best, there)) = pass.best_room(job, leftovers, &zones, &kinds, &self.kinds, at, &self.machines)
             else {
                 job.stuck_since.get_or_insert(pass.now);
                 return false;
@@ -544,6 +554,7 @@
                 return false;
             }
             job.stuck_since = None;
+            let image: Rc<str> = image_at.map_or_else(|| job.spec.image.as_str().into(), |(name, _)| name.clone());
             let room = &mut pass.rooms[best];
             room.cpus -= job.spec.cpus;
             room.gpus -= job.spec.gpus;
@@ -610,6 +621,9 @@
             machine.until = machine.until.max(room.until);
             machine.tasks.insert((id.clone(), task));
             machine.idle_since = None;
+            if !there && machine.fetching.insert(image) {
+                pass.rooms[best].fetching += 1;
+            }
         }
         false
     }
@@ -792,6 +806,30 @@
     takes: (f64, f64, f64),
 }
 
+/// How much longer a machine is held because it has to fetch the image first, in
+/// half steps: not at all if it has the image, hardly if it fetches it already for
+/// another task, and the longer the more it has to fetch, since fetches share the
+/// machine's rate.
+fn fetch_steps(
+    spec: &Spec,
+    kind: &Kind,
+    room: &Room,
+    image_at: Option<&BTreeSet<MachineId>>,
+    machines: &BTreeMap<MachineId, Machine>,
+) -> u64 {
+    if image_at.is_some_and(|at| at.contains(&room.name)) {
+        return 0;
+    }
+    if room.fetching > 0 {
+        let machine = machines.get(&room.name);
+        if machine.is_some_and(|m| m.fetching.contains(spec.image.as_str())) {
+            return 1;
+        }
+    }
+    let fetch = Micros::from_secs(spec.image_gb / kind.fetch_gb_per_s.max(0.01));
+    (fetch.0 / LONGER.0 + 1) * 2 * (1 + room.fetching as u64)
+}
+
 /// How long a task of this kind is expected to hold its machine. Nobody says it
 /// of a service.
 fn lasts(spec: &Spec) -> Micros {
@@ -907,10 +945,12 @@
             let open: Vec<usize> = open.into_iter().filter(|k| !none_left(&kinds[*k])).collect();
             let ordinary = open.iter().any(|k| !kinds[*k].spot);
             let full = self.full.entry(size).or_insert_with(|| vec![0; kinds.len()]);
-            // The machine of the largest size with room whose work goes on the
-            // least longer for this task, and of those the oldest.
+            // The machine of the largest size with room that is held the least
+            // longer for this task, by work and by fetching its image, and of those
+            // the oldest.
             let end = self.now + lasts(spec);
             let mut best: Option<(f64, u64, usize)> = None;
+            let mut looked = 0;
             for kind in open {
                 let cpus = kinds[kind].cpus;
                 if best.is_some_and(|(largest, _, _)| cpus < largest) {
@@ -937,11 +977,14 @@
                             at += 1;
                             continue;
                         }
-                        if best.is_none_or(|(_, l, b)| (longer, i) < (l, b)) {
-                            best = Some((cpus, longer, i));
-                            if longer == 0 {
-                                break;
-                            }
+                        let fetch = fetch_steps(spec, &kinds[kind], room, image_at, machines);
+                        let cost = longer * 2 + fetch * if job.is_service() { USERS_WAIT } else { 1 };
+                        if best.is_none_or(|(_, c, b)| (cost, i) < (c, b)) {
+                            best = Some((cpus, cost, i));
+                        }
+                        looked += 1;
+                        if cost == 0 || (longer == 0 && looked >= ALIKE) {
+                            break;
                         }
                     }
                     at += 1;
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -245,6 +245,10 @@
             Some(e) => {
                 if e.phase == TaskPhase::Running && p.running_since.is_none() {
                     p.running_since = Some(now);
+                    if !p.restored && !job.ageless {
+                        let (s, waited) = (&job.spec, now.since(job.arrived));
+                        self.account.started(&s.class, &s.team, s.cpus, waited, now);
+                    }
                     tracing::debug!(
                         job = %id,
                         task,
@@ -313,6 +317,7 @@
                     tracing::debug!(job = %id, task, machine = %name, ran_s, "task done");
                     job.runs.0 += ran_s;
                     job.runs.1 += 1;
+                    self.account.ran(&job.spec.class, job.spec.estimate_s, ran_s, now);
                 }
                 if job.states[task as usize] == TaskState::Placed {
                     job.states[task as usize] = TaskState::Finished;
@@ -322,6 +327,7 @@
                     job.chunks.entry(task / chunk_tasks).or_default().done.insert(task);
                     if !job.is_service() && job.finished == job.spec.tasks {
                         self.committer.complete.insert(id.clone());
+                        self.kept_aims(id, now);
                     }
                     self.touch(id, task / chunk_tasks, now);
                 }
@@ -478,12 +484,10 @@
         }
         self.next_machines = now + Micros::from_millis(500);
         let quiet = Self::work_silence(site);
-        if self
-            .machines
-            .values()
-            .any(|m| m.session > 0 && now.since(m.last_report) > quiet)
-            && now >= self.next_care
-        {
+        self.look_at_zones(site, now);
+        self.keep_account(site, now);
+        let unheard = |m: &Machine| m.session > 0 && now.since(m.last_report) > quiet;
+        if (self.zones.any() || self.machines.values().any(unheard)) && now >= self.next_care {
             self.next_care = now + PUBLISH;
             let request = StoreRequest::List {
                 prefix: keys::CARE.into(),
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -29,6 +29,8 @@
 /// What was decided longer ago than this is not done any more: another node may
 /// lead by now, a job may be cancelled, whoever asked may have given up.
 const DECIDED: Micros = Micros::from_millis(800);
+/// Where this process's clock begins: what came before its start has a time too.
+const AGO: Micros = Micros::from_millis(24 * 3600 * 1000);
 /// Machines whose connections are kept.
 const WORKERS: usize = 256;
 
@@ -340,7 +342,7 @@
 
 async fn serve(ex: Rc<LocalExecutor<'static>>, settings: Settings) -> Result<(), String> {
     let began = Instant::now();
-    let now = move || Micros(began.elapsed().as_micros() as u64);
+    let now = move || AGO + Micros(began.elapsed().as_micros() as u64);
     let (commands, queue) = async_channel::unbounded::<Command>();
     let (from_peers, peer_queue) = async_channel::bounded::<PeerMessage>(1024);
     let replies: Replies = Rc::default();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod daemon;
 pub mod protocol;
 pub mod settings;
-pub mod time;
 pub mod transport;
+
+pub use glenhaven_units as time;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -118,7 +118,7 @@
 }
 
 /// The operators' own settings; every field has a default.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Operator {
     /// Life of the leader's lease in the state service, in seconds.
@@ -131,6 +131,9 @@
     pub borrow_after_s: f64,
     /// Period of the demand estimate, in seconds.
     pub estimate_s: f64,
+    /// What it is worth that every job of a class keeps one of its times, as a
+    /// part of all that is spent.
+    pub in_time_worth: f64,
 }
 
 impl Default for Operator {
@@ -141,6 +144,7 @@
             headroom: 0.0,
             borrow_after_s: 30.0,
             estimate_s: 60.0,
+            in_time_worth: 1.5,
         }
     }
 }
@@ -168,6 +172,7 @@
         within("headroom", operator.headroom, 0.0, 10.0)?;
         within("borrow-after-s", operator.borrow_after_s, 0.0, 3600.0)?;
         within("estimate-s", operator.estimate_s, 1.0, 3600.0)?;
+        within("in-time-worth", operator.in_time_worth, 0.0, 1000.0)?;
         Ok(operator)
     }
 }
@@ -226,3 +231,17 @@
         Ok(settings)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::Operator;
+
+    /// The file that operators start from says what holds without it.
+    #[test]
+    fn the_deployed_file_names_the_defaults() {
+        let text = include_str!("../deploy/operator.scm");
+        assert_eq!(Operator::parse(text), Ok(Operator::default()));
+        assert!(Operator::parse("((in-time-worth . -1.0))").is_err());
+        assert!(Operator::parse("((in-time . 1.0))").is_err());
+    }
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -30,6 +30,7 @@
                 found.count() == *count
             }
             Expect::Refused(job, status) => world.users[job].refused == Some(*status),
+            Expect::Missed(job, most) => world.rules.missed.get(job).is_some_and(|m| m <= most),
             Expect::Rented(most) => world.cloud.rented() <= *most,
             Expect::LeaseKills(most) => world.rules.lease_kills <= *most,
             Expect::Stops(most) => world.rules.stops <= *most,
@@ -42,9 +43,9 @@
         };
         if !good {
             let counted = (world.store.changes, world.cloud.calls, world.cloud.rented_in_all());
-            let failures = world.rules.failures;
+            let (failures, missed) = (world.rules.failures, &world.rules.missed);
             wrong.push(format!(
-                "expected {expect:?}; changes, calls, machines rented: {counted:?}, failures {failures}"
+                "expected {expect:?}; changes, calls, machines rented: {counted:?}, failures {failures}, missed {missed:?}"
             ));
         }
     }
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -40,6 +40,8 @@
     Step(usize),
     Heal(usize),
     Start(usize),
+    /// Services are looked at.
+    Look,
 }
 
 /// Who waits for an answer of a controller.
@@ -67,6 +69,10 @@
     pub cut: BTreeMap<usize, BTreeSet<String>>,
     /// Zones that cannot reach each other.
     pub zones: BTreeMap<usize, (String, String)>,
+    /// Zones that nothing outside them can reach.
+    pub zone_off: BTreeMap<usize, String>,
+    /// The zone of each controller.
+    pub zone_of: Vec<String>,
     /// Transactions whose answers are lost, and how late they are executed.
     pub lose_txn: BTreeMap<usize, u64>,
     pub hold_direct: BTreeMap<usize, u64>,
@@ -86,9 +92,13 @@
 impl Broken {
     /// Whether this controller is cut off from these.
     pub fn cut_off(&self, n: usize, from: &str) -> bool {
-        self.node_cut
-            .values()
-            .any(|(node, what)| *node == n && (what == "all" || what == from))
+        let inside = !["peers", "workers"].contains(&from);
+        let off = |zone: &String| *zone == self.zone_of[n];
+        (inside && self.zone_off.values().any(off))
+            || self
+                .node_cut
+                .values()
+                .any(|(node, what)| *node == n && (what == "all" || what == from))
     }
 
     pub fn is_frozen(&self, n: usize) -> bool {
@@ -118,6 +128,7 @@
 impl World {
     pub fn new(script: script::Script) -> World {
         let settings = script.settings();
+        let zone_of = settings.iter().map(|s| s.zone.clone()).collect();
         let nodes = settings
             .into_iter()
             .map(|settings| Node {
@@ -139,7 +150,10 @@
             workers: BTreeMap::new(),
             users: BTreeMap::new(),
             rules: rules::Rules::new(&script),
-            broken: Broken::default(),
+            broken: Broken {
+                zone_of,
+                ..Broken::default()
+            },
             origins: BTreeMap::new(),
             held: vec![],
             next_id: 0,
@@ -193,6 +207,7 @@
             let at = self.script.steps[i].at;
             self.after(at, Ev::Step(i));
         }
+        self.after(SEC, Ev::Look);
         let end = self.script.until;
         while let Some((&(at, seq), _)) = self.queue.first_key_value() {
             if at > end {
@@ -241,6 +256,10 @@
             Ev::UserLate(job, rid) => self.user_late(&job, rid),
             Ev::Step(i) => self.step(i),
             Ev::Heal(i) => self.heal(i),
+            Ev::Look => {
+                self.rules.look_at_services(&self.workers, &self.users);
+                self.after(SEC, Ev::Look);
+            }
         }
     }
 
@@ -255,11 +274,9 @@
     }
 
     fn zones_reach(&self, a: &str, b: &str) -> bool {
-        !self
-            .broken
-            .zones
-            .values()
-            .any(|(x, y)| (x == a && y == b) || (x == b && y == a))
+        let parted = |(x, y): &(String, String)| (x == a && y == b) || (x == b && y == a);
+        let off = |zone: &String| a != b && (zone == a || zone == b);
+        !self.broken.zones.values().any(parted) && !self.broken.zone_off.values().any(off)
     }
 
     fn run(&mut self, n: usize, batch: Vec<Command>) {
@@ -404,6 +421,9 @@
             Act::ZoneCut(a, b) => {
                 self.broken.zones.insert(i, (a, b));
             }
+            Act::ZoneOff(zone) => {
+                self.broken.zone_off.insert(i, zone);
+            }
             Act::Hang(count) => {
                 let until = self.now + step.lasts.unwrap_or(SEC);
                 for name in self.busiest(count) {
@@ -496,6 +516,7 @@
         b.cloud_out.remove(&i);
         b.cut.remove(&i);
         b.zones.remove(&i);
+        b.zone_off.remove(&i);
         b.lose_txn.remove(&i);
         b.hold_direct.remove(&i);
         b.node_cut.remove(&i);
--- a/tests/sim/rules.rs
+++ b/tests/sim/rules.rs
@@ -15,6 +15,8 @@
     pub failures: usize,
     pub stops: usize,
     pub first_start: BTreeMap<String, u64>,
+    /// Replica seconds missed by each service whose replicas all ran once.
+    pub missed: BTreeMap<String, u64>,
     limits: BTreeMap<String, f64>,
     cancel: u64,
 }
@@ -32,6 +34,7 @@
             failures: 0,
             stops: 0,
             first_start: BTreeMap::new(),
+            missed: BTreeMap::new(),
             limits: script
                 .base
                 .params
@@ -44,6 +47,25 @@
         }
     }
 
+    /// Once a second: which replicas of services that ran in full are missing.
+    pub fn look_at_services(&mut self, workers: &BTreeMap<String, Worker>, users: &BTreeMap<String, User>) {
+        let mut on: BTreeMap<&str, u64> = BTreeMap::new();
+        for task in workers.values().filter(|w| w.up).flat_map(|w| w.on_machine()) {
+            *on.entry(job_of(task)).or_default() += 1;
+        }
+        for (job, user) in users.iter().filter(|(_, u)| u.spec.shape == Shape::Service) {
+            let all = u64::from(user.spec.tasks);
+            let there = on.get(job.as_str()).copied().unwrap_or(0);
+            let over = user.wants_abort || user.cancelled.is_some();
+            if there >= all {
+                self.missed.entry(job.clone()).or_default();
+            }
+            if let Some(missed) = self.missed.get_mut(job).filter(|_| !over) {
+                *missed += all.saturating_sub(there);
+            }
+        }
+    }
+
     /// A task has its image and begins.
     pub fn started(
         &mut self,
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -23,6 +23,8 @@
     HoldDirect(u64),
     Cut(usize),
     ZoneCut(String, String),
+    /// A zone is cut off from everything outside it.
+    ZoneOff(String),
     Hang(usize),
     Kill(usize),
     Notice(u64),
@@ -60,6 +62,8 @@
     Started(String, u64),
     Replicas(String, usize),
     Refused(String, u16),
+    /// Replica seconds that a service missed once all its replicas had run.
+    Missed(String, u64),
     Rented(usize),
     LeaseKills(usize),
     /// Running tasks stopped without their job being cancelled.
@@ -289,6 +293,7 @@
                     "hold-direct" => Act::HoldDirect(secs(w.word(3)?)?),
                     "cut" => Act::Cut(count()?),
                     "zone-cut" => Act::ZoneCut(w.word(3)?.into(), w.word(4)?.into()),
+                    "zone-off" => Act::ZoneOff(w.word(3)?.into()),
                     "hang" => Act::Hang(count()?),
                     "kill" => Act::Kill(count()?),
                     "notice" => Act::Notice(w.word(3)?.parse().map_err(|_| "seconds")?),
@@ -334,6 +339,7 @@
                     "started" => Expect::Started(w.word(2)?.into(), by()?),
                     "replicas" => Expect::Replicas(w.word(2)?.into(), number(3)? as usize),
                     "refused" => Expect::Refused(w.word(2)?.into(), number(3)? as u16),
+                    "missed-at-most" => Expect::Missed(w.word(2)?.into(), number(3)?),
                     "rented-at-most" => Expect::Rented(number(2)? as usize),
                     "lease-kills-at-most" => Expect::LeaseKills(number(2)? as usize),
                     "stops-at-most" => Expect::Stops(number(2)? as usize),
