Links that fail in part are told from every side and served through; rentals by class

Cause: a controller that lost the state service alone lost its lead and refused its users; one that heard nobody, or was not heard, kept the lead and started nothing while its lease lived, even renewed unheard; reports that a node could not pass on waited for the heal. Rentals by worth cost classes that have time to wait far more than they gained.

Classes whose objectives say how long tasks may wait are rented for by worth, while what was promised comes true; others by their backlog, as before.

--- a/crates/renting/src/lib.rs
+++ b/crates/renting/src/lib.rs
@@ -86,13 +86,16 @@
 }
 
 /// What to rent.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Advice {
     pub cores: f64,
     /// Worth of the times kept that would be missed otherwise.
     pub saves: f64,
     /// What it is expected to cost beyond what the same work costs anyhow.
     pub costs: f64,
+    /// The times that are expected to be kept by it: the numbers of the work and of its
+    /// due time.
+    pub saved: Vec<(usize, usize)>,
 }
 
 /// How a queue goes.
@@ -103,6 +106,8 @@
     clear_s: f64,
     /// Cores that still wait when more room would have come.
     left: f64,
+    /// When the last task of each work starts.
+    last_s: Vec<f64>,
 }
 
 /// Plays the queue ahead, oldest first, except that what has missed more of its
@@ -124,6 +129,7 @@
         missed: 0.0,
         clear_s: AHEAD_S,
         left: 0.0,
+        last_s: vec![AHEAD_S; work.len()],
     };
     let mut clear = false;
     let mut i = 0;
@@ -134,7 +140,7 @@
             if room <= LITTLE {
                 break;
             }
-            for (w, left) in work.iter().zip(&mut left) {
+            for ((w, left), last_s) in work.iter().zip(&mut left).zip(&mut played.last_s) {
                 if *left <= 0.0 || w.from_s > now {
                     continue;
                 }
@@ -151,6 +157,7 @@
                 }
                 if *left <= LITTLE {
                     *left = 0.0;
+                    *last_s = now;
                     played.missed += missed_by(w, now);
                 }
                 if room <= LITTLE {
@@ -192,6 +199,17 @@
     w.dues.iter().filter(|d| d.start_by_s < start_s).map(|d| d.worth).sum()
 }
 
+/// The times that are kept with more room and missed without.
+fn saved(work: &[Work], without: &Played, with: &Played) -> Vec<(usize, usize)> {
+    let mut saved = vec![];
+    for (i, w) in work.iter().enumerate() {
+        let (late, early) = (without.last_s[i], with.last_s[i]);
+        let by_it = |d: &Due| d.start_by_s < late && d.start_by_s >= early;
+        saved.extend((0..w.dues.len()).filter(|n| by_it(&w.dues[*n])).map(|n| (i, n)));
+    }
+    saved
+}
+
 /// How much to rent now for work in the order of its queue.
 pub fn advise(work: &[Work], supply: &Supply, offer: &Offer) -> Advice {
     if work.is_empty() || offer.most <= 0.0 || offer.ready_s >= AHEAD_S {
@@ -213,7 +231,12 @@
         let costs = cores * offer.price * held_s;
         let saves = without.missed - with.missed;
         if saves - costs > best.saves - best.costs {
-            best = Advice { cores, saves, costs };
+            best = Advice {
+                cores,
+                saves,
+                costs,
+                saved: saved(work, &without, &with),
+            };
         }
     }
     best
--- a/crates/served/src/lib.rs
+++ b/crates/served/src/lib.rs
@@ -114,6 +114,17 @@
         Self::line(&mut self.classes, class).judged(number, kept, self.half_life, now);
     }
 
+    /// A job of which a projection said that it would keep a time has kept it, or not.
+    pub fn promised(&mut self, class: &str, kept: bool, now: Micros) {
+        Self::line(&mut self.classes, class).promised(kept, self.half_life, now);
+    }
+
+    /// The share of what was promised to a class that came true lately; 1 before
+    /// anything was.
+    pub fn trust(&self, class: &str, now: Micros) -> f64 {
+        self.classes.get(class).map_or(1.0, |l| l.trust(self.half_life, now))
+    }
+
     /// A task of this class, estimated to run for so long, ran for so long.
     pub fn ran(&mut self, class: &str, estimated_s: f64, ran_s: f64, now: Micros) {
         Self::line(&mut self.classes, class).ran(estimated_s, ran_s, self.half_life, now);
--- a/crates/served/src/row.rs
+++ b/crates/served/src/row.rs
@@ -11,6 +11,8 @@
 const AIMS: usize = 16;
 /// Run times may differ so much from their estimates.
 const BIAS: (f64, f64) = (0.4, 2.5);
+/// A projection is believed like one that was right so many times.
+const PROMISES: f64 = 2.0;
 /// So many tasks make a bias known.
 const RUNS: f64 = 5.0;
 
@@ -38,6 +40,9 @@
     runs: Decayed,
     aims: Vec<(Decayed, Decayed)>,
     waits: Waits,
+    /// Times that a projection said would be kept, and those that were.
+    promised: Decayed,
+    came_true: Decayed,
 }
 
 /// Waits of this half life and the one before.
@@ -88,6 +93,16 @@
         self.waits.add(waited, half_life, now);
     }
 
+    pub fn promised(&mut self, kept: bool, half_life: Micros, now: Micros) {
+        self.promised.add(1.0, half_life, now);
+        self.came_true.add(if kept { 1.0 } else { 0.0 }, half_life, now);
+    }
+
+    pub fn trust(&self, half_life: Micros, now: Micros) -> f64 {
+        let get = |d: &Decayed| d.get(half_life, now) + PROMISES;
+        (get(&self.came_true) / get(&self.promised)).min(1.0)
+    }
+
     pub fn judged(&mut self, number: usize, kept: bool, half_life: Micros, now: Micros) {
         if number >= AIMS {
             return;
--- a/deploy/operator.scm
+++ b/deploy/operator.scm
@@ -5,4 +5,5 @@
  (headroom . 0.0)
  (borrow-after-s . 30.0)
  (estimate-s . 60.0)
- (in-time-worth . 1.5))
+ (in-time-worth . 1.5)
+ (ways-by-others . #t))
--- a/src/coordination/aims.rs
+++ b/src/coordination/aims.rs
@@ -26,6 +26,8 @@
     pub share: f64,
     /// Whether it is known to be kept or missed.
     pub judged: bool,
+    /// Whether a rental was made on the promise that this is kept.
+    pub promised: bool,
 }
 
 /// What is expected of a job: the operators' objectives for its class, or else its
@@ -40,6 +42,7 @@
                 starts,
                 share: share.unwrap_or(SHARE),
                 judged: false,
+                promised: false,
             });
         }
     };
@@ -61,6 +64,7 @@
             starts: false,
             share: SHARE,
             judged: false,
+            promised: false,
         }));
     }
     aims
@@ -107,13 +111,16 @@
                     aim.judged = true;
                     let kept = age <= aim.due_s;
                     if kept || !blameless {
-                        judged.push((job.spec.class.clone(), aim.number, kept));
+                        judged.push((job.spec.class.clone(), aim.number, kept, aim.promised));
                     }
                 }
             }
         }
-        for (class, number, kept) in judged {
+        for (class, number, kept, promised) in judged {
             self.account.judged(&class, number, kept, now);
+            if promised {
+                self.account.promised(&class, kept, now);
+            }
         }
     }
 
@@ -126,6 +133,9 @@
         for aim in job.aims.iter_mut().flatten().filter(|a| !a.judged) {
             aim.judged = true;
             self.account.judged(&job.spec.class, aim.number, age <= aim.due_s, now);
+            if aim.promised {
+                self.account.promised(&job.spec.class, age <= aim.due_s, now);
+            }
         }
     }
 
@@ -160,6 +170,7 @@
                 name = row.name,
                 asked_cores_s = row.asked,
                 got_cores_s = row.got,
+                trust = self.account.trust(&row.name, now),
                 wait_p50_s = row.wait_p50_s,
                 wait_p99_s = row.wait_p99_s,
                 "account"
--- a/src/coordination/book.rs
+++ b/src/coordination/book.rs
@@ -432,6 +432,12 @@
     }
 
     /// Answers everyone who still waits, when another node leads.
+    /// Machines that work, or are believed to.
+    pub fn working_machines(&self) -> u32 {
+        let up = |m: &&Machine| m.state == MachineState::Up;
+        self.machines.values().filter(up).count() as u32
+    }
+
     pub fn abandon(self, sh: &mut Shared) {
         for (from, _, _) in self.early_reports {
             if let EarlyReport::Worker(id) = from {
--- a/src/coordination/desk.rs
+++ b/src/coordination/desk.rs
@@ -328,6 +328,11 @@
         }
     }
 
+    /// The state service is asked by way of another controller from here on.
+    pub fn served_again(&mut self) {
+        self.refused_since = None;
+    }
+
     /// Every answer of the state service tells whether it is out, those to
     /// watches and renewals too: while users are refused at once, no request of
     /// theirs would ever tell that it is back.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -18,6 +18,12 @@
 /// A type, zone and kind without capacity is asked for again after this long.
 const NO_CAPACITY: Micros = Micros::from_millis(8000);
 
+/// Work that may use spot machines gets ordinary ones in any case for what exceeds the
+/// spot machines by this factor: what little is over the room is served as tasks end.
+const PATIENCE: f64 = 2.5;
+/// Share of the room that tasks give back during a boot that what waits now gets; what
+/// comes meanwhile takes the rest.
+const TURNOVER: f64 = 0.7;
 /// A machine on which tasks fail is returned after this long.
 const FAULTY: Micros = Micros::from_millis(15_000);
 /// How long a machine that only another node hears is left alone.
@@ -661,8 +667,12 @@
             if !self.rent(site, now, true, missing) && waits && now >= self.fleet.next_advice {
                 // No spot machine is to be had: ordinary ones for what is worth it.
                 let others = (want_ordinary - supply[0].cores).max(0.0);
-                let advice = self.worth_ordinary(site, others, now);
-                let rents = advice.cores > 0.5 && self.rent(site, now, false, advice.cores);
+                let (advice, promises) = self.worth_ordinary(site, others, now);
+                let cores = advice.cores.max(self.by_backlog(site, spare + supply[1].cores, now));
+                let rents = cores > 0.5 && self.rent(site, now, false, cores);
+                if rents {
+                    self.promise(promises);
+                }
                 let pause = if rents { 250 } else { 1000 };
                 self.fleet.next_advice = now + Micros::from_millis(pause);
             }
@@ -672,6 +682,61 @@
         self.return_idle(site, now, want_ordinary, want_flexible, supply);
     }
 
+    /// Cores missing for work that has the time to wait and may use spot machines, when
+    /// none of those is to be had: for what waits and can still be done in time on a
+    /// machine that has yet to boot, and for a part of all else, so that a backlog does
+    /// not grow without end. `room` are the cores that there are for all such work.
+    fn by_backlog(&self, site: &Site, room: f64, now: Micros) -> f64 {
+        let boots: Vec<f64> = site.catalogue.values().map(|t| t.boot_s).collect();
+        let boot = boots.iter().sum::<f64>() / boots.len().max(1) as f64;
+        let (mut held, mut helped, mut freed, mut low) = (0.0, 0.0, 0.0, 0.0);
+        let (mut all, mut others) = (0.0, 0.0);
+        let mut hurries: BTreeMap<&str, bool> = BTreeMap::new();
+        for job in self.jobs.values().filter(|j| j.spec.spot) {
+            let cores = effective_cores(&job.spec, site);
+            let holds = f64::from(job.held) * cores;
+            let wants = holds
+                + if job.is_live() {
+                    worth_renting(site, job, now) * cores
+                } else {
+                    0.0
+                };
+            let class = job.spec.class.as_str();
+            if *hurries
+                .entry(class)
+                .or_insert_with(|| self.must_not_wait(site, class, now))
+            {
+                others += wants;
+                continue;
+            }
+            all += wants;
+            held += holds;
+            // What runs now makes room while a machine boots.
+            freed += holds * (boot / job.spec.estimate_s.max(1.0)).min(1.0) * TURNOVER;
+            let fetch = site
+                .catalogue
+                .values()
+                .map(|t| job.spec.image_gb / t.fetch_gb_per_s.max(0.01))
+                .fold(f64::INFINITY, f64::min);
+            let up = now + Micros::from_secs(boot * 1.1 + fetch.min(60.0));
+            let in_time = latest_start(site, job).is_none_or(|at| up <= at);
+            // Work of low priority that has the time waits for spot machines.
+            if job.is_live() && in_time && !takes_leftovers(site, job, now) {
+                helped += worth_renting(site, job, now) * cores;
+            }
+            if job.spec.priority == Priority::Low {
+                low += holds + worth_renting(site, job, now) * cores;
+            }
+        }
+        let least = (all - low).max(0.0) / PATIENCE;
+        let wanted = if helped > freed {
+            least.max((held + helped - freed).min(all))
+        } else {
+            least
+        };
+        wanted - (room - others).max(0.0)
+    }
+
     /// Cores held in cut-off zones by work that is not to be moved yet: (needs
     /// ordinary machines, may use spot machines).
     fn held_far(&self, site: &Site, cuts: &BTreeMap<&str, Move>) -> [f64; 2] {
--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -3,12 +3,14 @@
 
 use super::book::Leader;
 use super::store_queue::Urgency;
-use super::{Core, Shared, Wait};
+use super::{Core, Effect, Shared, Wait};
 use crate::bookkeeping::keys;
 use crate::bookkeeping::records::{from_value, to_value, JobValue, Term};
+use crate::protocol::peer::PeerMessage;
 use crate::protocol::store::{Change, Condition, Event, Row, StoreAnswer, StoreRequest, Txn};
 use crate::settings::Settings;
 use crate::time::Micros;
+use glenhaven_links::{Host, Sure};
 
 /// What an answer of the state service is for.
 #[derive(Clone, Debug)]
@@ -32,7 +34,8 @@
         sent: Micros,
         lease: u64,
     },
-    /// Publishing which machines this node keeps; repeated, so any answer will do.
+    /// Publishing which machines this node keeps, or ending a lease: any answer will
+    /// do, since the one is repeated and the other ends by itself.
     Care,
     /// Taking over, or raising the own term.
     Take {
@@ -55,6 +58,15 @@
 const NEWS_LEADER: Micros = Micros::from_millis(60);
 const NEWS: Micros = Micros::from_millis(400);
 
+/// How long others let the one go first that a leader has named, and for how long its
+/// word counts.
+const DEFERENCE: Micros = Micros::from_millis(500);
+const PREFERRED: Micros = Micros::from_millis(5000);
+/// A node that gave up the lead lets all others go first by this.
+const AFTER_GIVING: Micros = Micros::from_millis(1500);
+/// A node that others reach far more than takes over this much later for each of them.
+const BEHIND: u64 = 60_000;
+
 /// This node's knowledge of the term, and its part in it.
 pub struct Leadership {
     node: String,
@@ -84,6 +96,9 @@
     /// The process stood still for so long that its lease may have ended:
     /// nothing is done as the leader until a renewal sent since then holds.
     doubts_since: Option<Micros>,
+    /// Who was named by a leader that gave up the lead, and when; nobody in particular
+    /// if it knew of nobody.
+    preferred: Option<(Option<String>, Micros)>,
 }
 
 impl Leadership {
@@ -111,6 +126,28 @@
             last_raise: Micros::ZERO,
             has_led: false,
             doubts_since: None,
+            preferred: None,
+        }
+    }
+
+    /// The state service answers again: the lease is renewed at once.
+    pub fn renew_soon(&mut self, now: Micros) {
+        if self.role == Role::Leader {
+            self.next_renew = now;
+        }
+    }
+
+    /// The leader gives up the lead, to this controller if it names one.
+    pub fn prefer(&mut self, to: Option<String>, now: Micros) {
+        self.preferred = Some((to, now));
+    }
+
+    /// How much longer than others this node waits before it takes the lead over: the
+    /// one that was named goes first.
+    fn deference(&self, now: Micros) -> Micros {
+        match &self.preferred {
+            Some((Some(to), at)) if now.since(*at) < PREFERRED && *to != self.node => DEFERENCE,
+            _ => Micros::ZERO,
         }
     }
 
@@ -421,12 +458,42 @@
         self.set_rates();
     }
 
+    /// Gives up the lead: this node stops first, then says so to the others and ends its
+    /// lease, which they see by their watches. Lost on the way, the lease ends by itself.
+    /// What it still has under way carries a term that the next leader's replaces.
+    pub(super) fn give_up_lead(&mut self, to: Option<String>, why: &str) {
+        let (lease, term) = (self.lead.lease, self.lead.term());
+        self.step_down(why);
+        self.lead.prefer(to.clone(), self.sh.now);
+        for peer in &self.site.settings.peers {
+            let message = PeerMessage::Yield {
+                node: self.lead.node.clone(),
+                term,
+                to: to.clone(),
+            };
+            self.sh.out.push(Effect::Peer {
+                to: peer.node.clone(),
+                message,
+            });
+        }
+        if let Some(lease) = lease {
+            let request = StoreRequest::Drop { lease };
+            let wait = Wait::Lead(LeadWait::Care);
+            self.sh
+                .store
+                .push(Urgency::Lead, request, wait, Micros::from_millis(600));
+        }
+    }
+
     /// Makes or renews the lease and starts a takeover when nobody leads.
     pub(super) fn tick_lead(&mut self) {
         let now = self.sh.now;
         if self.lead.role == Role::Leader {
             if let Some(lease) = self.lead.lease {
-                if now >= self.lead.next_renew {
+                // A lease that is renewed without anybody hearing of it keeps all others
+                // from taking over. Answers are waited for by trying the link instead;
+                // after an outage every lease has its full time again.
+                if now >= self.lead.next_renew && self.carry.hears_state(now) {
                     self.lead.next_renew = now + Micros(self.lead.ttl.0 / 3);
                     let wait = Wait::Lead(LeadWait::Renew { sent: now, lease });
                     self.sh.store.push(
@@ -459,6 +526,12 @@
             self.lead.elect_at = None;
             return;
         }
+        // Whoever has the state service only by way of others leaves the lead to them.
+        let host = Host::State;
+        if self.carry.picture.own(&host, now) == Sure::Down && self.carry.picture.someone_reaches(&host, now) {
+            self.lead.elect_at = None;
+            return;
+        }
         if self.site.catalogue.is_empty() && now.since(self.began) < Micros::from_secs(3.0) {
             return;
         }
@@ -467,7 +540,9 @@
                 let pause = if own || self.lead.current.is_none() {
                     Micros(self.lead.index as u64 * 150_000)
                 } else {
-                    Micros(self.lead.index as u64 * 60_000 + self.sh.rng.u64(0..40_000))
+                    let rank = u64::from(self.carry.picture.rank(now));
+                    let given = if self.gave_lately() { AFTER_GIVING } else { Micros::ZERO };
+                    Micros(rank * BEHIND + self.sh.rng.u64(0..40_000)) + given + self.lead.deference(now)
                 };
                 self.lead.elect_at = Some(now + pause);
             }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 pub mod aims;
 pub mod book;
 pub mod boots;
+pub mod carry;
 pub mod commit;
 pub mod cuts;
 pub mod desk;
@@ -24,9 +25,11 @@
 use crate::settings::Settings;
 use crate::time::Micros;
 use crate::transport::server::Outgoing;
+use carry::Carrier;
 use desk::Desk;
 use fleet::CloudDesk;
 use leadership::{Leadership, Role};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use store_queue::{StoreQueue, Urgency};
@@ -57,7 +60,7 @@
 }
 
 /// A call to the cloud.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum CloudRequest {
     Catalogue,
     Rent(Rent),
@@ -66,7 +69,7 @@
 }
 
 /// What came of a call to the cloud.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum CloudAnswer {
     Catalogue(Catalogue),
     Rented(Vec<String>),
@@ -249,6 +252,8 @@
     leader: Option<book::Leader>,
     peers: BTreeMap<String, PeerView>,
     links: BTreeMap<String, Link>,
+    /// What is known of all links, and what goes by way of other controllers.
+    carry: Carrier,
     /// Commands sent to workers for the leader: whom to tell, and its number.
     relays: BTreeMap<u64, (String, u64)>,
     /// The leadership of this node that has asked for workers' last reports.
@@ -267,6 +272,8 @@
         let p = &settings.params.state;
         let store = StoreQueue::new(p.rps * 0.2, p.write_rps * 0.2, now);
         let lead = Leadership::new(&settings, now);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let (node, life) = (settings.node.clone(), rng.u64(..));
         let mut core = Core {
             site: Site {
                 settings,
@@ -276,7 +283,7 @@
                 now,
                 store,
                 out: vec![],
-                rng: fastrand::Rng::with_seed(seed),
+                rng,
                 next_id: 0,
             },
             lead,
@@ -286,6 +293,7 @@
             leader: None,
             peers: BTreeMap::new(),
             links: BTreeMap::new(),
+            carry: Carrier::new(&node, life),
             relays: BTreeMap::new(),
             recalled: 0,
             next_alive: now,
@@ -377,7 +385,7 @@
         for (id, request, timeout) in self.sh.store.pump(self.sh.now) {
             self.sh.out.push(Effect::Store { id, request, timeout });
         }
-        std::mem::take(&mut self.sh.out)
+        self.by_their_ways()
     }
 
     /// The process did nothing for a while. Whatever came due meanwhile says
@@ -396,15 +404,23 @@
             Command::User { id, request } => self.on_user(id, request),
             Command::Report { id, report } => self.on_report(id, report),
             Command::Store { id, answer } => {
+                let Some(answer) = self.on_direct_answer(id, answer) else {
+                    return;
+                };
                 let refused = matches!(answer, StoreAnswer::Refused);
                 self.desk.note_health(self.sh.now, &answer);
                 if let Some(wait) = self.sh.store.answered(id, refused, self.sh.now) {
                     self.on_store_answer(wait, answer);
                 }
             }
-            Command::Cloud { id, answer } => self.on_cloud(id, answer),
+            Command::Cloud { id, answer } => {
+                if let Some(answer) = self.on_direct_call(id, answer) {
+                    self.on_cloud(id, answer);
+                }
+            }
             Command::Link { node, link } => {
                 tracing::debug!(node, ?link, "link");
+                self.carry.picture.sends(&node, link == Link::Up, link == Link::Refused);
                 self.links.insert(node, link);
             }
             Command::Direct { id, answer } => {
@@ -470,7 +486,10 @@
                 leads,
                 wants,
                 serves,
+                at,
+                links,
             } => {
+                self.carry.hears(&node, at, &links, now);
                 if self.site.settings.peers.iter().any(|p| p.node == node) {
                     let view = PeerView {
                         at: now,
@@ -504,11 +523,21 @@
                     leader.on_direct(id, answer);
                 }
             }
+            PeerMessage::Ask { .. } | PeerMessage::Told { .. } | PeerMessage::Pass { .. } | PeerMessage::Passed(_) => {
+                self.on_carried(message)
+            }
+            PeerMessage::Yield { node, term, to } => {
+                if term == self.lead.term() {
+                    tracing::info!(node, to, "the leader gives up the lead");
+                    self.lead.prefer(to, now);
+                }
+            }
         }
     }
 
     fn tick(&mut self) {
         let now = self.sh.now;
+        self.tick_links();
         self.tick_lead();
         self.desk.tick(&mut self.sh, &self.site);
         self.care.tick(&mut self.sh, &self.lead, &self.desk, &self.site);
@@ -523,6 +552,8 @@
                 leads: self.lead.role() == Role::Leader,
                 wants: (self.share_changes() * 1000.0).min(4e9) as u32,
                 serves: self.care.serves(now, self.lead.role() == Role::Leader),
+                at: now.0,
+                links: self.tell_links(),
             };
             for peer in &self.site.settings.peers {
                 self.sh.out.push(Effect::Peer {
@@ -578,10 +609,8 @@
             self.lead.raise(&mut self.sh, why);
         }
         let now = self.sh.now;
-        let (peers, links) = (&self.peers, &self.links);
-        let reached = |node: &str| {
-            peers.get(node).is_some_and(|p| now.since(p.at) < HEARD) && links.get(node).is_none_or(|l| *l == Link::Up)
-        };
+        let carry = &self.carry;
+        let reached = |node: &str| carry.reaches(node, now);
         leader.flush_direct(&mut self.sh, &self.lead, reached);
     }
 
--- a/src/coordination/store_queue.rs
+++ b/src/coordination/store_queue.rs
@@ -190,6 +190,12 @@
         old
     }
 
+    /// A number for a request that does not go through this queue.
+    pub fn foreign(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
     /// The requests that may go out now, with their ids.
     pub fn pump(&mut self, now: Micros) -> Vec<(u64, StoreRequest, Micros)> {
         self.grow(now);
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -6,7 +6,7 @@
 use super::desk::Desk;
 use super::leadership::{LeadWait, Leadership, Role};
 use super::store_queue::Urgency;
-use super::{Core, DirectAnswer, Effect, JobId, Shared, Site, Wait, HEARD};
+use super::{Core, DirectAnswer, Effect, JobId, Shared, Site, Wait};
 use crate::bookkeeping::keys;
 use crate::bookkeeping::records::to_value;
 use crate::protocol::peer::{Link, PeerMessage};
@@ -15,6 +15,7 @@
 use crate::protocol::users::Phase;
 use crate::protocol::workers::{Cause, Direct, Elsewhere, Order, Orders, Report, TaskPhase};
 use crate::time::Micros;
+use glenhaven_links::{Host, Sure};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -570,8 +571,12 @@
     /// Machines kept without the leader, and when each last reported.
     kept: BTreeMap<String, Micros>,
     next_publish: Micros,
+    /// When the next worker may be sent on.
+    next_sent_on: Micros,
 }
 
+/// Share of its workers that a node which hears no other one sends on in a second.
+const SENT_ON: f64 = 0.125;
 /// How often a node says which machines it keeps.
 const PUBLISH: Micros = Micros::from_millis(2000);
 
@@ -584,6 +589,11 @@
         }
     }
 
+    /// The zones of the workers that report here, and when each last did.
+    pub fn reporting(&self) -> impl Iterator<Item = (&str, Micros)> {
+        self.served.values().map(|(at, report)| (report.zone.as_str(), *at))
+    }
+
     /// How many workers report here. The leader, which has more to do, counts
     /// them twice.
     pub fn serves(&mut self, now: Micros, leads: bool) -> u32 {
@@ -684,10 +694,9 @@
 }
 
 impl Core {
-    /// Whether messages reach this node and come back.
+    /// Whether messages reach this node and come back, directly or by way of another.
     fn reaches_node(&self, node: &str) -> bool {
-        let heard = self.peers.get(node).is_some_and(|p| self.sh.now.since(p.at) < HEARD);
-        heard && self.links.get(node).is_none_or(|l| *l == Link::Up)
+        self.carry.reaches(node, self.sh.now)
     }
 
     /// A node with far fewer workers, for one that reports here for the first
@@ -710,6 +719,40 @@
         (own > least + least / 3 + UNEVEN).then_some(node)
     }
 
+    /// Another node for a worker that this one can do little for: it exchanges nothing
+    /// with any other controller, not even in its own zone. Then its own links fail, not
+    /// those of the zone, and the worker most likely reaches its neighbours. They are sent on a few at a time: each is lost to this
+    /// node's answers, and spends some of its lease, if the guess is wrong.
+    fn better_placed(&mut self, machine: &str) -> Option<String> {
+        let now = self.sh.now;
+        let picture = &self.carry.picture;
+        let alone = self
+            .site
+            .settings
+            .peers
+            .iter()
+            .all(|p| picture.own(&Host::Node(p.node.clone()), now) < Sure::Slow);
+        if !alone || now < self.care.next_sent_on {
+            return None;
+        }
+        if self.care.came_back(machine, now) {
+            return None;
+        }
+        self.care.unreached.retain(|_, until| now < *until);
+        let near: Vec<&String> = self
+            .site
+            .settings
+            .peers
+            .iter()
+            .filter(|p| p.zone == self.site.settings.zone && !self.care.unreached.contains_key(&p.node))
+            .map(|p| &p.node)
+            .collect();
+        let node = (*near.get(self.sh.rng.usize(0..near.len().max(1)))?).clone();
+        let rate = (self.care.served.len() as f64 * SENT_ON).max(1.0);
+        self.care.next_sent_on = now + Micros::from_secs(1.0 / rate);
+        Some(node)
+    }
+
     fn send_away(&mut self, id: u64, machine: &str, to: String) {
         let now = self.sh.now;
         self.care.sent_away.insert(machine.to_string(), (now, to.clone()));
@@ -781,6 +824,9 @@
             if refused && !self.care.came_back(&report.machine, now) {
                 return self.send_away(id, &report.machine, leader);
             }
+            if let Some(node) = self.better_placed(&report.machine) {
+                return self.send_away(id, &report.machine, node);
+            }
             return self.keep(id, &report);
         }
         let number = self.sh.id();
--- a/src/coordination/worth.rs
+++ b/src/coordination/worth.rs
@@ -5,7 +5,7 @@
 use super::book::{Job, Leader, MachineState};
 use super::fleet::effective_cores;
 use super::placement::takes_leftovers;
-use super::Site;
+use super::{JobId, Site};
 use crate::time::Micros;
 use glenhaven_renting::{advise, Advice, Due, Offer, Supply, Work};
 use std::collections::BTreeMap;
@@ -42,10 +42,20 @@
         }
     }
 
+    /// Whether machines are rented for a class by what they would serve in time: where
+    /// the operators say how long its tasks may wait, they are, as long as most of what
+    /// such rentals promised came true. Other work has time: it gets machines for its
+    /// backlog, which costs far less for each job that is in time.
+    pub fn must_not_wait(&self, site: &Site, class: &str, now: Micros) -> bool {
+        let mut aims = site.settings.params.objectives.iter();
+        let named = aims.any(|o| o.class == class && o.kind == "wait");
+        named && self.account.trust(class, now) >= BELIEVED
+    }
+
     /// How many cores of ordinary machines to rent now for what may use spot
     /// machines, when none of those is to be had. `ordinary` cores of the room
     /// that there is and comes are for other work.
-    pub fn worth_ordinary(&self, site: &Site, ordinary: f64, now: Micros) -> Advice {
+    pub fn worth_ordinary(&self, site: &Site, ordinary: f64, now: Micros) -> (Advice, Promises) {
         let usable: Vec<_> = site
             .catalogue
             .values()
@@ -57,7 +67,7 @@
         let cheap = usable.iter().map(|t| per_core(t.spot_price, t.cpus));
         let cheap = cheap.fold(f64::INFINITY, f64::min);
         let Some(boot_s) = usable.iter().map(|t| t.boot_s).reduce(f64::max) else {
-            return Advice::default();
+            return Default::default();
         };
         let rate = usable.iter().map(|t| t.fetch_gb_per_s).fold(0.01, f64::max);
         let fetch_s = |j: &Job| (j.spec.image_gb / rate).min(FETCH_S);
@@ -75,7 +85,20 @@
             demand += tasks * effective_cores(&job.spec, site);
         }
         let spent = spent.max(demand * cheap) * site.settings.operator.in_time_worth;
+        let mut hurries: BTreeMap<&str, bool> = BTreeMap::new();
+        for job in self.jobs.values().filter(|j| j.spec.spot && !j.waiting.is_empty()) {
+            let class = job.spec.class.as_str();
+            hurries
+                .entry(class)
+                .or_insert_with(|| self.must_not_wait(site, class, now));
+        }
+        if !hurries.values().any(|h| *h) {
+            return Default::default();
+        }
         let worth = |class: &str, aim: &JobAim| {
+            if !hurries.get(class).copied().unwrap_or(false) {
+                return 0.0;
+            }
             let jobs = self.account.inflow(class, now).jobs_per_s;
             // A class of which a job comes every few minutes is not worth all.
             let a_job = spent / jobs.max(1.0 / NO_OFTENER_S);
@@ -94,6 +117,8 @@
             .collect();
         waiting.sort_by_key(|j| (std::cmp::Reverse(j.spec.priority), !within.contains(&j.id), j.version));
         let mut queue: Vec<Work> = vec![];
+        // Whose aims the times of each work are.
+        let mut whose: Vec<Vec<(JobId, Vec<usize>)>> = vec![];
         let mut alike = BTreeMap::new();
         let mut last: BTreeMap<&str, &Job> = BTreeMap::new();
         for job in waiting {
@@ -113,6 +138,7 @@
             let run_s = self.expected_s(job) + fetch_s(job);
             let age = now.since(job.arrived).secs();
             let mut dues: Vec<Due> = vec![];
+            let mut numbers = vec![];
             let mut most: f64 = 0.0;
             for aim in job.aims.iter().flatten() {
                 let worth = worth(class, aim);
@@ -120,6 +146,7 @@
                 let start_by_s = aim.due_s - age - if aim.starts { fetch_s(job) } else { run_s };
                 if start_by_s >= 0.0 {
                     dues.push(Due { start_by_s, worth });
+                    numbers.push(aim.number);
                 }
             }
             if dues.is_empty() {
@@ -138,6 +165,7 @@
             let like = like.or((queue.len() >= JOBS).then(|| queue.len() - 1));
             if let Some(like) = like {
                 queue[like].cores += cores;
+                whose[like].push((job.id.clone(), numbers));
                 for (sum, due) in queue[like].dues.iter_mut().zip(&dues) {
                     sum.worth += due.worth;
                 }
@@ -146,6 +174,7 @@
             if let Some(key) = small {
                 alike.insert(key, queue.len());
             }
+            whose.push(vec![(job.id.clone(), numbers)]);
             queue.push(Work {
                 cores,
                 run_s,
@@ -154,7 +183,7 @@
             });
         }
         if queue.is_empty() {
-            return Advice::default();
+            return Default::default();
         }
         // What is expected to come meanwhile takes its part of the room.
         for (class, job) in last {
@@ -224,9 +253,32 @@
                 "ordinary machines are worth it"
             );
         }
-        advice
+        let mut promises = vec![];
+        for (work, due) in &advice.saved {
+            for (job, numbers) in whose.get(*work).into_iter().flatten() {
+                promises.extend(numbers.get(*due).map(|number| (job.clone(), *number)));
+            }
+        }
+        (advice, promises)
+    }
+
+    /// A rental was made on the promise that these jobs keep these times: what comes
+    /// of it tells how far such projections are to be believed.
+    pub fn promise(&mut self, promises: Promises) {
+        for (id, number) in promises {
+            let aims = self.jobs.get_mut(&id).and_then(|j| j.aims.as_mut());
+            for aim in aims.into_iter().flatten().filter(|a| a.number == number) {
+                aim.promised = true;
+            }
+        }
     }
 }
 
+/// Jobs and the numbers of their aims.
+pub type Promises = Vec<(JobId, usize)>;
+
+/// Projections are believed while so much of what they promised came true.
+const BELIEVED: f64 = 0.5;
+
 /// A class counts as if a job of it came at least this often, in seconds.
 const NO_OFTENER_S: f64 = 20.0;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -95,6 +95,7 @@
             Some(to_cbor(&NewLease { ttl_ms: *ttl_ms })),
         ),
         StoreRequest::Renew { lease } => (Method::Post, format!("/holds/{lease}/touch"), None),
+        StoreRequest::Drop { lease } => (Method::Delete, format!("/holds/{lease}"), None),
         StoreRequest::Watch { prefix, after, wait_ms } => (
             Method::Get,
             format!("/follow?prefix={}&after={after}&wait_ms={wait_ms}", query(prefix)),
@@ -128,7 +129,8 @@
         }),
         (200, StoreRequest::Grant { .. }) => read(&body, A::Unknown, |l: Lease| A::Lease(l.lease)),
         (200, StoreRequest::Renew { lease }) => A::Lease(*lease),
-        (404, StoreRequest::Renew { .. }) => A::NoLease,
+        (200 | 204, StoreRequest::Drop { lease }) => A::Lease(*lease),
+        (404, StoreRequest::Renew { .. } | StoreRequest::Drop { .. }) => A::NoLease,
         (200, StoreRequest::Watch { .. }) => read(&body, A::Unknown, |e: Events| A::Events(e)),
         (410, StoreRequest::Watch { .. }) => A::Compacted,
         (400, _) => {
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -2,6 +2,7 @@
 
 use super::workers::{Direct, DirectAnswer, Orders, Report};
 use bitcode::{Decode, Encode};
+use glenhaven_links::Cell;
 
 /// Display counts of one job.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
@@ -27,6 +28,11 @@
         wants: u32,
         /// Workers that report to the sender.
         serves: u32,
+        /// The sender's steady clock, in microseconds. Nobody compares it with another
+        /// clock; differences tell how late a later message is.
+        at: u64,
+        /// How its links are.
+        links: Vec<Cell>,
     },
     /// Display counts that changed, from the leader.
     Progress(Vec<Progress>),
@@ -47,6 +53,42 @@
     },
     /// What came of them.
     Relayed { id: u64, answer: DirectAnswer },
+    /// A request to the state service or the cloud which the sender can't make itself.
+    /// The receiver makes it itself or not at all.
+    Ask {
+        node: String,
+        /// A number of the sender's process: its earlier lives asked other things.
+        life: u64,
+        id: u64,
+        /// The sender's steady clock, as in `Alive`.
+        at: u64,
+        /// The term as the sender knows it.
+        term: u64,
+        timeout_ms: u32,
+        what: Carried,
+    },
+    /// What came of it.
+    Told { life: u64, id: u64, what: Carried },
+    /// A message for another controller, which the sender can't reach. The receiver
+    /// sends it there directly or drops it.
+    Pass { to: String, body: Vec<u8> },
+    /// A message that came by way of the sender.
+    Passed(Vec<u8>),
+    /// The sender leads no more, by its own decision; if it names a controller, the
+    /// others let that one go first.
+    Yield {
+        node: String,
+        term: u64,
+        to: Option<String>,
+    },
+}
+
+/// A request or answer that is carried for another controller, in the form in which the
+/// state service or the cloud has it.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum Carried {
+    State(Vec<u8>),
+    Cloud(Vec<u8>),
 }
 
 /// How a link to another controller is, as its sending side sees it.
--- a/src/protocol/store.rs
+++ b/src/protocol/store.rs
@@ -117,19 +117,37 @@
     pub lease: u64,
 }
 
-/// A request to the state service.
-#[derive(Clone, Debug, PartialEq)]
+/// A request to the state service; also written as it is when another controller is
+/// asked to make it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum StoreRequest {
-    Get { key: String },
-    List { prefix: String, after: String },
+    Get {
+        key: String,
+    },
+    List {
+        prefix: String,
+        after: String,
+    },
     Txn(Txn),
-    Grant { ttl_ms: u64 },
-    Renew { lease: u64 },
-    Watch { prefix: String, after: u64, wait_ms: u64 },
+    Grant {
+        ttl_ms: u64,
+    },
+    Renew {
+        lease: u64,
+    },
+    /// Ends a lease at once.
+    Drop {
+        lease: u64,
+    },
+    Watch {
+        prefix: String,
+        after: u64,
+        wait_ms: u64,
+    },
 }
 
 /// What came of a request to the state service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum StoreAnswer {
     Row(Row),
     Missing {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -134,6 +134,9 @@
     /// What it is worth that every job of a class keeps one of its times, as a
     /// part of all that is spent.
     pub in_time_worth: f64,
+    /// Whether what this controller can't reach is asked by way of the others, and what
+    /// they can't reach is asked for them.
+    pub ways_by_others: bool,
 }
 
 impl Default for Operator {
@@ -145,6 +148,7 @@
             borrow_after_s: 30.0,
             estimate_s: 60.0,
             in_time_worth: 1.5,
+            ways_by_others: true,
         }
     }
 }
@@ -243,5 +247,7 @@
         assert_eq!(Operator::parse(text), Ok(Operator::default()));
         assert!(Operator::parse("((in-time-worth . -1.0))").is_err());
         assert!(Operator::parse("((in-time . 1.0))").is_err());
+        assert!(Operator::parse("((ways-by-others . 1.0))").is_err());
+        assert!(Operator::parse("((ways-by-others . #f))").is_ok_and(|o| !o.ways_by_others));
     }
 }
--- a/src/transport/peers.rs
+++ b/src/transport/peers.rs
@@ -2,14 +2,19 @@
 //! with a length in front.
 
 use crate::protocol::peer::{Link, PeerMessage};
+use crate::time::Micros;
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use glenhaven_links::Backoff;
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-const FRAME_LIMIT: usize = 256 * 1024;
+/// Above what a carried list of keys takes (512 KiB).
+const FRAME_LIMIT: usize = 1024 * 1024;
+/// Pauses between tries to connect: a controller that comes back is not stormed.
+const PAUSES: (Micros, Micros) = (Micros::from_millis(200), Micros::from_millis(800));
 const CONNECT: Duration = Duration::from_millis(800);
 const WRITE: Duration = Duration::from_secs(2);
 /// A frame that is not acknowledged by then was sent over a dead link.
@@ -44,6 +49,7 @@
 pub async fn send(addr: SocketAddr, queue: Receiver<PeerMessage>, told: impl Fn(Link)) {
     let mut link: Option<Async<TcpStream>> = None;
     let mut unacked: VecDeque<Instant> = VecDeque::new();
+    let mut pauses = Backoff::new(PAUSES.0, PAUSES.1);
     loop {
         let mut acks = [0u8; 256];
         let turn = {
@@ -69,6 +75,7 @@
             Turn::Message(message) => Some(message),
             Turn::Taken(n) => {
                 told(Link::Up);
+                pauses.worked();
                 unacked.drain(..n.min(unacked.len()));
                 None
             }
@@ -98,7 +105,7 @@
                     told(if refused { Link::Refused } else { Link::Silent });
                     // Whatever has queued up meanwhile is out of date.
                     while queue.try_recv().is_ok() {}
-                    Timer::after(Duration::from_millis(200)).await;
+                    Timer::after(Duration::from_micros(pauses.next(fastrand::f64()).0)).await;
                     continue;
                 }
             }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -31,6 +31,10 @@
             }
             Expect::Refused(job, status) => world.users[job].refused == Some(*status),
             Expect::Missed(job, most) => world.rules.missed.get(job).is_some_and(|m| m <= most),
+            Expect::AcceptedWithin(seconds) => world.users.values().all(|u| {
+                let waited = u.accepted.zip(u.first_asked).map(|(at, from)| at - from);
+                u.refused.is_some() || waited.is_some_and(|w| w <= seconds * SEC)
+            }),
             Expect::Rented(most) => world.cloud.rented() <= *most,
             Expect::LeaseKills(most) => world.rules.lease_kills <= *most,
             Expect::Stops(most) => world.rules.stops <= *most,
@@ -44,6 +48,14 @@
         if !good {
             let counted = (world.store.changes, world.cloud.calls, world.cloud.rented_in_all());
             let (failures, missed) = (world.rules.failures, &world.rules.missed);
+            if let Expect::AcceptedWithin(seconds) = expect {
+                for (id, u) in &world.users {
+                    let waited = u.accepted.zip(u.first_asked).map(|(at, from)| at - from);
+                    if waited.is_none_or(|w| w > seconds * SEC) {
+                        wrong.push(format!("{id} was accepted after {waited:?} us"));
+                    }
+                }
+            }
             wrong.push(format!(
                 "expected {expect:?}; changes, calls, machines rented: {counted:?}, failures {failures}, missed {missed:?}"
             ));
--- a/tests/sim/cloud.rs
+++ b/tests/sim/cloud.rs
@@ -144,7 +144,9 @@
         } else {
             CloudAnswer::Refused
         };
-        self.after(hop, Ev::Command(n, life, Command::Cloud { id, answer }));
+        if self.passes(&super::links::End::Cloud, &super::links::End::Node(n)) {
+            self.after(hop, Ev::Command(n, life, Command::Cloud { id, answer }));
+        }
     }
 
     fn rent(&mut self, rent: Rent) -> CloudAnswer {
--- /dev/null
+++ b/tests/sim/links.rs
@@ -0,0 +1,105 @@
+//! Single directed links between hosts, and what cuts them. A request goes one way and
+//! its answer the other: with only the way back cut, requests are carried out and
+//! nobody hears of it.
+
+use super::{Ev, World, MS};
+use glenhaven::coordination::Command;
+use glenhaven::protocol::peer::Link;
+
+/// One end of a link.
+#[derive(Clone, Debug, PartialEq)]
+pub enum End {
+    Node(usize),
+    /// The node that leads when the cut begins, and all others.
+    Leader,
+    /// The first of the others.
+    One,
+    Others,
+    Nodes,
+    /// The nodes of a zone.
+    NodesIn(String),
+    State,
+    Cloud,
+    /// The machines of a zone, or all.
+    Workers(Option<String>),
+}
+
+impl End {
+    pub fn parse(word: &str) -> Result<End, String> {
+        Ok(match word {
+            "leader" => End::Leader,
+            "one" => End::One,
+            "others" => End::Others,
+            "nodes" => End::Nodes,
+            "state" => End::State,
+            "cloud" => End::Cloud,
+            "workers" => End::Workers(None),
+            other => match (other.strip_prefix("nodes-"), other.strip_prefix("workers-")) {
+                (Some(zone), _) => End::NodesIn(zone.into()),
+                (_, Some(zone)) => End::Workers(Some(zone.into())),
+                _ => End::Node(other.parse().map_err(|_| format!("no such end: {other}"))?),
+            },
+        })
+    }
+}
+
+impl World {
+    /// Whether a described end is this one.
+    fn is_end(&self, described: &End, end: &End) -> bool {
+        match (described, end) {
+            (End::Nodes, End::Node(_)) => true,
+            (End::NodesIn(zone), End::Node(n)) => self.broken.zone_of[*n] == *zone,
+            (End::Workers(None), End::Workers(_)) => true,
+            (a, b) => a == b,
+        }
+    }
+
+    /// Fixes who leads when a cut begins; `None` while nobody does.
+    pub fn fixed(&self, end: &End) -> Option<Vec<End>> {
+        match end {
+            End::Leader => self.leader().map(|n| vec![End::Node(n)]),
+            End::Others => {
+                let leader = self.leader()?;
+                Some((0..self.nodes.len()).filter(|n| *n != leader).map(End::Node).collect())
+            }
+            End::One => {
+                let leader = self.leader()?;
+                Some(
+                    (0..self.nodes.len())
+                        .filter(|n| *n != leader)
+                        .take(1)
+                        .map(End::Node)
+                        .collect(),
+                )
+            }
+            other => Some(vec![other.clone()]),
+        }
+    }
+
+    /// Whether packets get from one host to another.
+    pub fn passes(&self, from: &End, to: &End) -> bool {
+        let cuts = |(a, b): &(End, End)| self.is_end(a, from) && self.is_end(b, to);
+        !self.broken.links.values().flatten().any(cuts)
+    }
+
+    pub fn zone_end(&self, machine: &str) -> End {
+        End::Workers(self.workers.get(machine).map(|w| w.zone.clone()))
+    }
+
+    /// What a controller's link to another one is told to be, once that has changed.
+    pub fn tell_link(&mut self, n: usize, other: usize, arrives: bool) {
+        let there = self.nodes[other].core.is_some();
+        let acked = arrives && there && self.passes(&End::Node(other), &End::Node(n));
+        if self.links_told.insert((n, other), acked) == Some(acked) {
+            return;
+        }
+        let (link, pause) = match (acked, there) {
+            (true, _) => (Link::Up, 4 * MS),
+            (false, true) => (Link::Silent, 1500 * MS),
+            (false, false) => (Link::Refused, 4 * MS),
+        };
+        let node = self.nodes[other].settings.node.clone();
+        let life = self.nodes[n].life;
+        self.after(pause, Ev::Command(n, life, Command::Link { node, link }));
+    }
+}
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -39,6 +39,8 @@
     FreezeOnGrant,
     /// A controller is cut off from `all`, `state`, `workers` or `peers`.
     NodeCut(String, String),
+    /// Packets from one end to another are lost.
+    LinkCut(super::links::End, super::links::End),
     /// Machines rented now boot so many times as long; 0: never.
     Boots(f64),
     /// Users ask so many times as often.
@@ -64,6 +66,8 @@
     Refused(String, u16),
     /// Replica seconds that a service missed once all its replicas had run.
     Missed(String, u64),
+    /// Every job is accepted within so many seconds.
+    AcceptedWithin(u64),
     Rented(usize),
     LeaseKills(usize),
     /// Running tasks stopped without their job being cancelled.
@@ -303,6 +307,10 @@
                     "freeze-on-grant" => Act::FreezeOnGrant,
                     "freeze" => Act::Freeze(w.word(3)?.into()),
                     "node-cut" => Act::NodeCut(w.word(3)?.into(), w.word(4)?.into()),
+                    "link-cut" => {
+                        use super::links::End;
+                        Act::LinkCut(End::parse(w.word(3)?)?, End::parse(w.word(4)?)?)
+                    }
                     "boots" => Act::Boots(w.word(3)?.parse().map_err(|_| "factor")?),
                     "storm" => Act::Storm(w.word(3)?.parse().map_err(|_| "factor")?),
                     other => return Err(format!("unknown act {other}")),
@@ -340,6 +348,7 @@
                     "replicas" => Expect::Replicas(w.word(2)?.into(), number(3)? as usize),
                     "refused" => Expect::Refused(w.word(2)?.into(), number(3)? as u16),
                     "missed-at-most" => Expect::Missed(w.word(2)?.into(), number(3)?),
+                    "accepted-within" => Expect::AcceptedWithin(number(2)?),
                     "rented-at-most" => Expect::Rented(number(2)? as usize),
                     "lease-kills-at-most" => Expect::LeaseKills(number(2)? as usize),
                     "stops-at-most" => Expect::Stops(number(2)? as usize),
--- a/tests/sim/users.rs
+++ b/tests/sim/users.rs
@@ -23,6 +23,7 @@
     pub wants_abort: bool,
     pub resubmit: bool,
     stranger: bool,
+    pub first_asked: Option<u64>,
     pub accepted: Option<u64>,
     pub refused: Option<u16>,
     pub cancelled: Option<u64>,
@@ -43,6 +44,7 @@
             wants_abort: false,
             resubmit: false,
             stranger: false,
+            first_asked: None,
             accepted: None,
             refused: None,
             cancelled: None,
@@ -85,6 +87,7 @@
             (Asked::Submit, UserRequest::Submit(to_cbor(&user.spec)), 5 * SEC)
         } else if user.accepted.is_none() && !user.stranger {
             user.submitted = true;
+            user.first_asked.get_or_insert(self.now);
             (Asked::Submit, UserRequest::Submit(to_cbor(&user.spec)), 5 * SEC)
         } else if user.wants_abort && user.cancelled.is_none() && user.done.is_none() {
             (Asked::Abort, UserRequest::Abort(job.into()), 5 * SEC)
--- a/tests/sim/workers.rs
+++ b/tests/sim/workers.rs
@@ -399,6 +399,9 @@
         else {
             return;
         };
+        if !self.passes(&super::links::End::Node(n), &self.zone_end(&name)) {
+            return;
+        }
         if !self.reaches(n, &name) {
             // Held back, and delivered when the cut is over.
             let ev = Ev::Direct(n, life, id, addr.into(), body.clone());
@@ -426,7 +429,9 @@
             DirectAnswer::Rejected(report)
         };
         let hop = self.hop();
-        self.after(hop, Ev::Command(n, life, Command::Direct { id, answer }));
+        if self.passes(&self.zone_end(&name), &super::links::End::Node(n)) {
+            self.after(hop, Ev::Command(n, life, Command::Direct { id, answer }));
+        }
         self.after(1, Ev::Worker(name));
     }
 }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -482,6 +482,8 @@
     let mut held = vec![];
     for _ in 0..60 {
         to.try_send(PeerMessage::Alive {
+            at: 0,
+            links: vec![],
             node: "node-0".into(),
             term: 1,
             fresh: true,
