Outcomes on machines kept across parted zones are recorded by way of the state service

Cause: two zones that can't reach each other leave machines that a node of their side keeps; what ended there stayed unrecorded until the heal, and was started again after 45 s.

Ruled out: relaying reports (nobody hears both sides); keys per outcome (changes are few).

All 65,536 sets of links among four controllers are searched: the lead comes to rest, which it did not where nobody hears anybody; a leader that is alone now gives up ever more seldom.

--- a/crates/links/src/lead.rs
+++ b/crates/links/src/lead.rs
@@ -115,6 +115,9 @@
 pub struct Lead {
     since: Option<(Option<String>, Micros)>,
     given: VecDeque<Micros>,
+    /// Not to be given up to nobody in particular before this, and how often it was
+    /// since this controller last exchanged messages with another.
+    alone: (Micros, u32),
 }
 
 /// So long has the reason to hold.
@@ -155,7 +158,15 @@
         // One other may have ended; several are more likely well and not heard. Where
         // their hosts refuse connections, their workers are sent here instead.
         let silent = picture.silent_nodes(now);
-        let alone = others > 1 && own.state && own.nodes == 1 && silent == others && own.workers * 2 < machines;
+        if own.nodes > 1 {
+            self.alone = Default::default();
+        }
+        let alone = now >= self.alone.0
+            && others > 1
+            && own.state
+            && own.nodes == 1
+            && silent == others
+            && own.workers * 2 < machines;
         let found = match best {
             // What can be asked by way of others works here as well as there.
             Some((_, name)) if own.state => Some(Handover {
@@ -185,6 +196,11 @@
         }
         self.given.push_back(now);
         self.since = None;
+        if found.why == Why::Alone {
+            // Where no controller hears another one, the lead would go round for ever.
+            self.alone.0 = now + Micros(MINUTE.0 << self.alone.1.min(4));
+            self.alone.1 += 1;
+        }
         Some(found)
     }
 
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -21,6 +21,16 @@
     pub spec: Option<Spec>,
 }
 
+/// What a node says of the machines whose workers it answers without the leader.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Care {
+    /// Their names.
+    pub kept: Vec<String>,
+    /// Last reports of those on which tasks have ended, packed.
+    #[serde(default)]
+    pub told: String,
+}
+
 /// The proof that a task may be on a machine: task, attempt, machine, session,
 /// and the term it was made under.
 pub type PlacementRow = (u32, u64, String, u64, u64);
--- a/src/coordination/commit.rs
+++ b/src/coordination/commit.rs
@@ -13,12 +13,12 @@
 use super::{Core, JobId, Shared, Site, Wait};
 use crate::bookkeeping::keys;
 use crate::bookkeeping::records::{
-    self, from_value, ranges, to_value, ClaimValue, Entry, JobValue, Page, Part, PlacementRow,
+    self, from_value, ranges, to_value, Care, ClaimValue, Entry, JobValue, Page, Part, PlacementRow,
 };
 use crate::protocol::json_size;
 use crate::protocol::store::{Change, Condition, Event, Row, StoreAnswer, StoreRequest, Txn};
 use crate::protocol::users::{Phase, Priority, Spec};
-use crate::protocol::workers::Order;
+use crate::protocol::workers::{Order, Report};
 use crate::time::Micros;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -1128,11 +1128,20 @@
                     if before == Some(row.version) {
                         continue;
                     }
-                    for name in from_value::<Vec<String>>(&row.value).unwrap_or_default() {
+                    let Some(care) = from_value::<Care>(&row.value) else {
+                        tracing::error!(key = row.key, "malformed value of kept machines");
+                        continue;
+                    };
+                    for name in &care.kept {
                         if let Some(m) = leader.machines.get_mut(name.as_str()) {
                             m.kept_at = sh.now;
                         }
                     }
+                    match glenhaven_packed::unpack::<Report>(&care.told) {
+                        Ok(told) => leader.told_by_store(&self.site, &told, sh.now),
+                        Err(_) if care.told.is_empty() => {}
+                        Err(error) => tracing::error!(key = row.key, %error, "malformed reports"),
+                    }
                 }
             }
             LeaderWait::Commit => match answer {
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -8,12 +8,12 @@
 use super::store_queue::Urgency;
 use super::{Core, DirectAnswer, Effect, JobId, Shared, Site, Wait};
 use crate::bookkeeping::keys;
-use crate::bookkeeping::records::to_value;
+use crate::bookkeeping::records::{to_value, Care};
 use crate::protocol::peer::{Link, PeerMessage};
 use crate::protocol::store::{Change, StoreRequest, Txn};
-use crate::protocol::to_cbor;
 use crate::protocol::users::Phase;
 use crate::protocol::workers::{Cause, Direct, Elsewhere, Order, Orders, Report, TaskPhase};
+use crate::protocol::{json_size, to_cbor};
 use crate::time::Micros;
 use glenhaven_links::{Host, Sure};
 use std::collections::BTreeMap;
@@ -173,6 +173,19 @@
         orders
     }
 
+    /// What workers reported to a node that this one can't hear, by way of the state
+    /// service. Good for what it says, as any late report; it does not tell that the
+    /// machines are reached, and nobody waits for orders.
+    pub fn told_by_store(&mut self, site: &Site, reports: &[Report], now: Micros) {
+        for report in reports {
+            let Some(m) = self.machines.get(report.machine.as_str()) else {
+                continue;
+            };
+            let (via, at) = (m.via.clone(), m.last_report);
+            self.on_report(site, report, via.as_deref(), at, now);
+        }
+    }
+
     /// Forgetting while a start of the same attempt may be on its way would let
     /// that start run the task again.
     fn may_forget(&self, machine: &MachineId, task: &str, attempt: u64) -> bool {
@@ -570,11 +583,15 @@
     unreached: BTreeMap<String, Micros>,
     /// Machines kept without the leader, and when each last reported.
     kept: BTreeMap<String, Micros>,
+    /// The last report of each that the state service was told of.
+    told: BTreeMap<String, (u64, u64)>,
     next_publish: Micros,
     /// When the next worker may be sent on.
     next_sent_on: Micros,
 }
 
+/// Kept machines that are named at the most.
+const KEPT: usize = 400;
 /// Share of its workers that a node which hears no other one sends on in a second.
 const SENT_ON: f64 = 0.125;
 /// How often a node says which machines it keeps.
@@ -621,6 +638,29 @@
         back
     }
 
+    /// What this node says of the machines that it keeps: their names, and of as many as
+    /// fit the reports that tell of tasks that ended, those first that were not told.
+    /// The leader, which can't hear these workers, records the outcomes meanwhile.
+    fn care_value(&mut self, site: &Site) -> Care {
+        let kept: Vec<String> = self.kept.keys().take(KEPT).cloned().collect();
+        self.told.retain(|machine, _| self.kept.contains_key(machine));
+        let ended = |r: &&Report| r.tasks.iter().any(|t| t.phase == TaskPhase::Exited);
+        let reports = kept.iter().filter_map(|name| self.served.get(name));
+        let mut reports: Vec<&Report> = reports.map(|(_, r)| r).filter(ended).collect();
+        let number = |r: &Report| (r.session, r.serial);
+        reports.sort_by_key(|r| self.told.get(&r.machine) == Some(&number(r)));
+        let value = (site.settings.params.state.value_kb * 1024.0) as usize;
+        let room = value.saturating_sub(json_size(&kept) + 300);
+        let reports: Vec<Report> = reports.into_iter().cloned().collect();
+        let (told, taken) = glenhaven_packed::pack(&reports, room);
+        for r in &reports[..taken] {
+            self.told.insert(r.machine.clone(), number(r));
+        }
+        // Even nothing takes a few bytes.
+        let told = if taken == 0 { String::new() } else { told };
+        Care { kept, told }
+    }
+
     /// Answers reports that the leader has not answered in time.
     pub fn tick(&mut self, sh: &mut Shared, lead: &Leadership, desk: &Desk, site: &Site) {
         let now = sh.now;
@@ -642,12 +682,12 @@
         self.kept.retain(|_, at| now.since(*at) < Micros::from_secs(5.0));
         if !self.kept.is_empty() && now >= self.next_publish && lead.role() != Role::Leader {
             self.next_publish = now + PUBLISH;
-            let names: Vec<&String> = self.kept.keys().take(400).collect();
+            let care = self.care_value(site);
             let txn = Txn {
                 conditions: vec![lead.condition()],
                 changes: vec![Change::Put {
                     key: format!("{}{}", keys::CARE, site.settings.node),
-                    value: to_value(&names),
+                    value: to_value(&care),
                     lease: None,
                 }],
             };
