Times that decide without a word from the other side stand in one place

Cause: times like 45 s kept, 30 s unreached or three report periods silent stood in five files, some of them right for one deployment only (a kept machine was released before a cancelled task had to be gone on one, after it on another).

Ruled out: deriving the times of doubted and slow machines from boots: the settings do not have them, and the figures depend on them; they stand there with their reasons.

Change: coordination/times.rs; kept and unreached follow from lease and cancel; the settings are refused where a lease ends between two reports.

--- a/src/coordination/cuts.rs
+++ b/src/coordination/cuts.rs
@@ -2,15 +2,12 @@
 //! moved out of them. The decisions are those of `glenhaven-zones`.
 
 use super::book::{Leader, Machine, MachineId, MachineState};
+use super::times::REHOME;
 use super::Site;
 use crate::time::Micros;
 use glenhaven_zones::{in_step, Change, Far, Move, Sign, Times};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A worker gives up an answer after 4 s and tries the next controller a second
-/// later; where that one is lost too, the third hears it.
-const REHOME: Micros = Micros::from_millis(10_000);
-
 /// What the leader knows of another controller.
 #[derive(Clone, Copy, Debug)]
 pub struct NodeSign {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -4,7 +4,7 @@
 use super::aims::NO_HURRY_S;
 use super::book::{Leader, Machine, MachineId, MachineState, Stage};
 use super::placement::{allowed, latest_start, open_zones, takes_leftovers};
-use super::{CloudAnswer, CloudRequest, Core, Effect, Shared, Site};
+use super::{times, CloudAnswer, CloudRequest, Core, Effect, Shared, Site};
 use crate::bookkeeping::records::ClaimValue;
 use crate::protocol::cloud::{Hosts, Listed, MachineType, Rent};
 use crate::protocol::users::{Priority, Spec};
@@ -15,8 +15,6 @@
 use std::rc::Rc;
 
 const TIMEOUT: Micros = Micros::from_millis(3000);
-/// A type, zone and kind without capacity is asked for again after this long.
-const NO_CAPACITY: Micros = Micros::from_millis(8000);
 
 /// Work that may use spot machines gets ordinary ones in any case for what exceeds the
 /// spot machines by this factor: what little is over the room is served as tasks end.
@@ -24,10 +22,6 @@
 /// Share of the room that tasks give back during a boot that what waits now gets; what
 /// comes meanwhile takes the rest.
 const TURNOVER: f64 = 0.7;
-/// A machine on which tasks fail is returned after this long.
-const FAULTY: Micros = Micros::from_millis(15_000);
-/// How long a machine that only another node hears is left alone.
-const KEPT_LIMIT: Micros = Micros::from_millis(45_000);
 /// Machines asked for at once: so many even if that is all of a need, and the
 /// most that the cloud takes.
 const BATCH: f64 = 6.0;
@@ -325,7 +319,7 @@
                         claim.value.zone.clone(),
                         claim.value.spot,
                     );
-                    self.fleet.blocked.insert(key, now + NO_CAPACITY);
+                    self.fleet.blocked.insert(key, now + times::NO_CAPACITY);
                 }
                 tracing::debug!(
                     claim = id,
@@ -361,7 +355,7 @@
                     claim.value.zone.clone(),
                     claim.value.spot,
                 );
-                self.fleet.blocked.insert(key, now + NO_CAPACITY);
+                self.fleet.blocked.insert(key, now + times::NO_CAPACITY);
                 claim.state = ClaimState::Over;
             }
             _ => {
@@ -402,7 +396,7 @@
     /// keep a cancelled task for too long.
     pub fn judge_machines(&mut self, site: &Site, now: Micros) {
         let w = &site.settings.params.workers;
-        let silent = Micros::from_secs(w.report_s * 3.0 + 3.0);
+        let silent = times::silent(w);
         let lease = Micros::from_secs(w.lease_s);
         // A silent spot machine was most likely taken back. An ordinary one is
         // more likely cut off with its tasks running; they run on until its
@@ -413,7 +407,7 @@
             if m.spot || m.machine_type.is_empty() {
                 silent
             } else {
-                silent.max(lease - Micros::from_secs(1.0))
+                times::lease_ends(w)
             }
         };
         // Where a node is lost, its workers find another one first.
@@ -457,7 +451,7 @@
             let listens = listening.get(&m.name).copied().unwrap_or(self.listens_since);
             // What another node keeps runs on, but nothing that ends there can be
             // recorded: a short cut is sat out, a long one is not.
-            let sat_out = now.since(m.last_report.max(listens)) < KEPT_LIMIT;
+            let sat_out = now.since(m.last_report.max(listens)) < times::kept(w);
             let kept_at = if sat_out { m.kept_at } else { Micros::ZERO };
             // In a zone that is cut off, leases run on from the last report.
             let known = zones.is_cut(&m.zone) && m.last_report > Micros::ZERO;
@@ -962,7 +956,7 @@
             }
             let since = *m.idle_since.get_or_insert(now);
             // Time to learn whether a job is to blame instead.
-            let faulty = m.doubted_since.is_some_and(|at| now.since(at) > FAULTY) && now < m.doubted_until;
+            let faulty = m.doubted_since.is_some_and(|at| now.since(at) > times::FAULTY) && now < m.doubted_until;
             let doubted = faulty || now < m.slow_until;
             if doubted {
                 m.state = MachineState::Doomed;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -14,6 +14,7 @@
 pub mod placement;
 pub mod pools;
 pub mod store_queue;
+pub mod times;
 pub mod workers;
 pub mod worth;
 
@@ -274,6 +275,7 @@
         let lead = Leadership::new(&settings, now);
         let mut rng = fastrand::Rng::with_seed(seed);
         let (node, life) = (settings.node.clone(), rng.u64(..));
+        let care = Caretaker::new(&settings.params.workers);
         let mut core = Core {
             site: Site {
                 settings,
@@ -289,7 +291,7 @@
             lead,
             desk: Desk::default(),
             cloud: CloudDesk::new(now),
-            care: Caretaker::default(),
+            care,
             leader: None,
             peers: BTreeMap::new(),
             links: BTreeMap::new(),
--- a/src/coordination/pace.rs
+++ b/src/coordination/pace.rs
@@ -3,7 +3,7 @@
 //! elsewhere is started again there.
 
 use super::book::{Leader, MachineId, MachineState, Placement, Stage};
-use super::{JobId, Site};
+use super::{times, JobId, Site};
 use crate::protocol::workers::TaskPhase;
 use crate::time::Micros;
 use std::collections::BTreeSet;
@@ -15,8 +15,6 @@
 const LEAST_RUNS: u32 = 6;
 /// How much slower a slow machine is taken to be.
 const SLOWNESS: f64 = 3.0;
-/// How long a slow machine gets nothing new; looked at again after that.
-const AVOIDED: Micros = Micros::from_millis(60_000);
 /// Share of the machines that can be slow: beyond it, it is rather the
 /// comparison that is wrong.
 const MOST: f64 = 0.25;
@@ -61,7 +59,7 @@
                 known += 1;
                 tracing::info!(machine = %name, "machine doubted: tasks take long on it");
             }
-            m.slow_until = now + AVOIDED;
+            m.slow_until = now + times::SLOW;
         }
         // What would be done sooner elsewhere starts again there.
         let mut moved: Vec<(JobId, u32)> = vec![];
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -3,7 +3,7 @@
 
 use super::book::{Job, Kind, Leader, Machine, MachineId, Placement, Stage, TaskState};
 use super::pools::{split, ClassKey};
-use super::{JobId, Shared, Site};
+use super::{times, JobId, Shared, Site};
 use crate::protocol::cloud::MachineType;
 use crate::protocol::users::{Priority, Shape, Spec};
 use crate::time::Micros;
@@ -178,7 +178,7 @@
 impl Leader {
     /// How long without a report a machine still gets new work.
     pub fn work_silence(site: &Site) -> Micros {
-        Micros::from_secs(site.settings.params.workers.report_s * 2.0 + 1.0)
+        times::no_new_work(&site.settings.params.workers)
     }
 
     /// The kind of a machine of this type, zone and sort of rental.
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -6,7 +6,7 @@
 use super::desk::Desk;
 use super::leadership::{LeadWait, Leadership, Role};
 use super::store_queue::Urgency;
-use super::{Core, DirectAnswer, Effect, JobId, Shared, Site, Wait};
+use super::{times, Core, DirectAnswer, Effect, JobId, Shared, Site, Wait};
 use crate::bookkeeping::keys;
 use crate::bookkeeping::records::{to_value, Care};
 use crate::protocol::peer::{Link, PeerMessage};
@@ -14,13 +14,12 @@
 use crate::protocol::users::Phase;
 use crate::protocol::workers::{Cause, Direct, Elsewhere, Order, Orders, Report, TaskPhase};
 use crate::protocol::{json_size, to_cbor};
+use crate::settings::Workers;
 use crate::time::Micros;
 use glenhaven_links::{Host, Sure};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// How long a machine on which tasks fail gets nothing new.
-const DOUBTED: Micros = Micros::from_millis(120_000);
 /// Reports that wait until a new leader can answer them.
 const EARLY: usize = 4000;
 /// Orders in one message, well under the 64 KiB for responses.
@@ -34,12 +33,6 @@
 /// A node takes this many workers more than a third beyond the one with the
 /// fewest before it sends new ones there.
 const UNEVEN: u32 = 16;
-/// A node that workers could not reach is not named to others for this long.
-const UNREACHED: Micros = Micros::from_millis(30_000);
-/// A forwarded report waits this long for the leader; the worker waits 4 s.
-const FORWARD_LIMIT: Micros = Micros::from_millis(1500);
-/// A worker sent to the leader that comes back within this time cannot reach it.
-const COMES_BACK: Micros = Micros::from_millis(8000);
 
 /// Direct orders on their way.
 pub struct SentDirect {
@@ -398,7 +391,7 @@
                 tracing::info!(machine = %name, jobs = m.faults.len(), "machine doubted: tasks fail on it");
             }
             m.doubted_since.get_or_insert(now);
-            m.doubted_until = now + DOUBTED;
+            m.doubted_until = now + times::DOUBTED;
         }
     }
 
@@ -581,6 +574,7 @@
     served: BTreeMap<String, (Micros, Report)>,
     /// Nodes that workers could not reach, until when they are not named.
     unreached: BTreeMap<String, Micros>,
+    unreached_for: Micros,
     /// Machines kept without the leader, and when each last reported.
     kept: BTreeMap<String, Micros>,
     /// The last report of each that the state service was told of.
@@ -598,6 +592,13 @@
 const PUBLISH: Micros = Micros::from_millis(2000);
 
 impl Caretaker {
+    pub fn new(workers: &Workers) -> Caretaker {
+        Caretaker {
+            unreached_for: times::unreached(workers),
+            ..Caretaker::default()
+        }
+    }
+
     /// The leader's answer to a report that was passed on.
     pub fn answered(&mut self, sh: &mut Shared, id: u64, orders: Orders) {
         if let Some(f) = self.forwarded.remove(&id) {
@@ -631,9 +632,9 @@
         let Some((at, to)) = self.sent_away.get(machine) else {
             return false;
         };
-        let back = now.since(*at) < COMES_BACK;
+        let back = now.since(*at) < times::COMES_BACK;
         if back {
-            self.unreached.insert(to.clone(), now + UNREACHED);
+            self.unreached.insert(to.clone(), now + self.unreached_for);
         }
         back
     }
@@ -667,7 +668,7 @@
         let late: Vec<u64> = self
             .forwarded
             .iter()
-            .filter(|(_, f)| now.since(f.at) > FORWARD_LIMIT)
+            .filter(|(_, f)| now.since(f.at) > times::FORWARD)
             .map(|(id, _)| *id)
             .collect();
         for id in late {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -215,9 +215,14 @@
         if p.state.txn_ops < 4 {
             return Err("params.state.txn_ops: fewer than 4".into());
         }
-        if p.workers.cancel_s <= p.workers.lease_s {
+        let w = &p.workers;
+        if w.cancel_s <= w.lease_s {
             return Err("params.workers.cancel_s: not above lease_s".into());
         }
+        // Reports vary by a quarter; a lease that ends between two of them never holds.
+        if w.lease_s <= w.report_s * 1.25 {
+            return Err("params.workers.lease_s: not above report_s and a quarter".into());
+        }
         Ok(settings)
     }
 
