Silent machines with services are given up early; a cut zone's services run on

The log could not tell; replicas were counted nowhere. And machines of a cut zone were given up as their leases ended by the leader's count, though their controllers go on answering; those of a zone that was back, before they could report.

--- a/src/coordination/book.rs
+++ b/src/coordination/book.rs
@@ -373,6 +373,10 @@
     pub next_machines: Micros,
     pub next_pace: Micros,
     pub next_care: Micros,
+    /// When zones that were cut off were heard again.
+    pub zones_back: BTreeMap<String, Micros>,
+    /// When it is told next where replicas are.
+    pub next_replicas: Micros,
     /// What is known of the other controllers.
     pub nodes: BTreeMap<String, super::cuts::NodeSign>,
     /// What each class and team asked for and got.
@@ -424,6 +428,8 @@
             next_machines: now,
             next_pace: now,
             next_care: now,
+            zones_back: BTreeMap::new(),
+            next_replicas: now,
             nodes: BTreeMap::new(),
             account: glenhaven_served::Account::new(ACCOUNT),
             zones: glenhaven_zones::Zones::default(),
--- a/src/coordination/cuts.rs
+++ b/src/coordination/cuts.rs
@@ -45,7 +45,9 @@
         let found = node
             .and_then(|n| n.lost)
             .map_or(Micros::ZERO, |at| now.min(at + REHOME));
-        self.listens_since.max(found)
+        // A zone that is back has been heard by its controllers first, as a rule.
+        let back = self.zones_back.get(&m.zone).copied().unwrap_or(Micros::ZERO);
+        self.listens_since.max(found).max(back)
     }
 
     /// Looks at what is heard of every zone.
@@ -79,7 +81,10 @@
                     let silent_s = now.since(since).secs();
                     tracing::info!(zone, silent_s, "zone cut off: nothing new goes there");
                 }
-                Change::Back { zone, after } => tracing::info!(zone, after_s = after.secs(), "zone heard again"),
+                Change::Back { zone, after } => {
+                    tracing::info!(zone, after_s = after.secs(), "zone heard again");
+                    self.zones_back.insert(zone, now);
+                }
             }
         }
     }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -395,6 +395,7 @@
     /// Gives up on machines that are late, silent or taken, and on those that
     /// keep a cancelled task for too long.
     pub fn judge_machines(&mut self, site: &Site, now: Micros) {
+        self.boots.look(site, &self.machines, now);
         let w = &site.settings.params.workers;
         let silent = times::silent(w);
         let lease = Micros::from_secs(w.lease_s);
@@ -403,8 +404,17 @@
         // lease ends, and releasing it earlier would only stop them.
         // A machine that a new leader knows from the book only, neither reporting
         // nor listed, is most likely gone as well.
+        // Inside a zone that is cut off, its controllers go on answering for as long as
+        // their knowledge is fresh enough, and services run on until the leases renewed
+        // by them end. If they were dead instead, the cloud's list would tell.
+        let inside = site.knowledge_limit();
+        let kept_inside = |m: &Machine| {
+            m.services > 0 && self.zones.is_cut(&m.zone) && site.settings.peers.iter().any(|p| p.zone == m.zone)
+        };
         let patience = |m: &Machine| {
-            if m.spot || m.machine_type.is_empty() {
+            if kept_inside(m) {
+                inside + times::lease_ends(w)
+            } else if m.spot || m.machine_type.is_empty() {
                 silent
             } else {
                 times::lease_ends(w)
@@ -435,7 +445,6 @@
             .collect();
         let listening: BTreeMap<MachineId, Micros> =
             self.machines.values().map(|m| (m.name.clone(), listens(m))).collect();
-        self.boots.look(site, &self.machines, now);
         let boots = &self.boots;
         let held_too_long: BTreeSet<MachineId> = self
             .jobs
@@ -446,6 +455,11 @@
             .map(|p| p.machine.clone())
             .collect();
         let released = self.released_in_step(site, now);
+        let alone = |m: &Machine| {
+            let judged = !cut_off(m) && !doubted.contains(&m.via) && now.since(m.kept_at) > times::KEPT_TOLD;
+            judged.then(|| now.since(m.last_report.max(listens(m))))
+        };
+        let hung = self.given_up_early(site, alone);
         let zones = &self.zones;
         for m in self.machines.values_mut().filter(|m| m.state != MachineState::Doomed) {
             let listens = listening.get(&m.name).copied().unwrap_or(self.listens_since);
@@ -466,6 +480,7 @@
                     (late && heard).then_some("never came up")
                 }
                 _ if released.contains(&m.name) => Some("there is room for its work outside its zone"),
+                _ if hung.contains(&m.name) => Some("silent, and there is room for its services"),
                 _ if unheard > patience(m)
                     && (zones.is_cut(&m.zone) || !doubted.contains(&m.via) || unheard > patience(m) + lease) =>
                 {
@@ -477,7 +492,7 @@
                 _ => None,
             };
             // A node that keeps a machine stops cancelled tasks there itself.
-            let kept = now.since(m.kept_at) < Micros::from_secs(5.0);
+            let kept = now.since(m.kept_at) < times::KEPT_TOLD;
             let why = why.or_else(|| (!kept && held_too_long.contains(&m.name)).then_some("keeps a cancelled task"));
             if let Some(why) = why {
                 tracing::info!(machine = %m.name, why, tasks = m.tasks.len(), "machine given up");
--- a/src/coordination/times.rs
+++ b/src/coordination/times.rs
@@ -27,6 +27,9 @@
 /// boot and a task take, so that trying it again costs no more than replacing it.
 pub const SLOW: Micros = Micros::from_millis(60_000);
 
+/// A node says every two seconds which machines it keeps.
+pub const KEPT_TOLD: Micros = Micros::from_millis(5_000);
+
 /// Reports may come a quarter of their period late, and a message is now and then lost
 /// and sent again: a machine that was not heard for three periods and this is silent.
 const SLACK: Micros = Micros::from_millis(3_000);
@@ -36,6 +39,12 @@
     Micros::from_secs(workers.report_s * 3.0) + SLACK
 }
 
+/// Without a report for this long a report that was due did not come, neither here nor,
+/// if its controller was lost, at the next one.
+pub fn report_missed(workers: &Workers) -> Micros {
+    Micros::from_secs(workers.report_s * 1.25 + 1.5) + Micros(REHOME.0 / 2)
+}
+
 /// Without a report for this long a machine gets no new work: one that is well has
 /// reported once more, even if one report was lost.
 pub fn no_new_work(workers: &Workers) -> Micros {
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -492,6 +492,7 @@
         self.next_machines = now + Micros::from_millis(500);
         let quiet = Self::work_silence(site);
         self.look_at_zones(site, now);
+        self.log_replicas(site, now);
         self.keep_account(site, now);
         let unheard = |m: &Machine| m.session > 0 && now.since(m.last_report) > quiet;
         if (self.zones.any() || self.machines.values().any(unheard)) && now >= self.next_care {
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -265,7 +265,7 @@
             Ev::Step(i) => self.step(i),
             Ev::Heal(i) => self.heal(i),
             Ev::Look => {
-                self.rules.look_at_services(&self.workers, &self.users);
+                self.rules.look_at_services(self.now, &self.workers, &self.users);
                 self.after(SEC, Ev::Look);
             }
         }
--- a/tests/sim/rules.rs
+++ b/tests/sim/rules.rs
@@ -48,9 +48,10 @@
     }
 
     /// Once a second: which replicas of services that ran in full are missing.
-    pub fn look_at_services(&mut self, workers: &BTreeMap<String, Worker>, users: &BTreeMap<String, User>) {
+    pub fn look_at_services(&mut self, now: u64, workers: &BTreeMap<String, Worker>, users: &BTreeMap<String, User>) {
         let mut on: BTreeMap<&str, u64> = BTreeMap::new();
-        for task in workers.values().filter(|w| w.up).flat_map(|w| w.on_machine()) {
+        let runs = |w: &&Worker| w.up && now >= w.hangs_until;
+        for task in workers.values().filter(runs).flat_map(|w| w.on_machine()) {
             *on.entry(job_of(task)).or_default() += 1;
         }
         for (job, user) in users.iter().filter(|(_, u)| u.spec.shape == Shape::Service) {
