--- a/src/coordination/carry.rs
+++ b/src/coordination/carry.rs
@@ -84,7 +84,8 @@
     asked: BTreeMap<(Service, u64), Micros>,
     clocks: BTreeMap<String, Clock>,
     next_probe: [Micros; 2],
-    led_since: Option<(u64, Micros)>,
+    /// Since when this node has led with the book read.
+    led_since: Option<Micros>,
     told: BTreeMap<Host, bool>,
 }
 
@@ -314,7 +315,7 @@
                 // deposed makes none. What goes to the state service does, and it is how
                 // the sender learns of a later term.
                 let deposed = matches!(what, Carried::Cloud(_)) && term < self.lead.term();
-                let never = !self.site.settings.operator.ways_by_others;
+                let never = !self.site.settings.operator.ways_by_others || !self.is_peer(&node);
                 let late = never || full || deposed || self.carry.is_late(&node, at, now);
                 self.carry_for(node, life, id, what, timeout, late);
             }
@@ -497,9 +498,9 @@
             return;
         }
         let began = match self.carry.led_since {
-            Some((_, at)) => at,
+            Some(at) => at,
             None => {
-                self.carry.led_since = Some((self.lead.term(), now));
+                self.carry.led_since = Some(now);
                 self.carry.lead.begun();
                 now
             }
@@ -513,6 +514,11 @@
         }
     }
 
+    /// Whether the settings name another controller like this.
+    pub(super) fn is_peer(&self, node: &str) -> bool {
+        self.site.settings.peers.iter().any(|p| p.node == node)
+    }
+
     /// Whether this node gave up the lead a moment ago.
     pub(super) fn gave_lately(&self) -> bool {
         self.carry.lead.gave_lately(self.sh.now)
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -495,7 +495,8 @@
             let kept = now.since(m.kept_at) < times::KEPT_TOLD;
             let why = why.or_else(|| (!kept && held_too_long.contains(&m.name)).then_some("keeps a cancelled task"));
             if let Some(why) = why {
-                tracing::info!(machine = %m.name, why, tasks = m.tasks.len(), "machine given up");
+                let (tasks, services) = (m.tasks.len(), m.services);
+                tracing::info!(machine = %m.name, zone = &*m.zone, why, tasks, services, "machine given up");
                 m.state = MachineState::Doomed;
                 self.dirty = true;
             }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -493,8 +493,8 @@
                 at,
                 links,
             } => {
-                self.carry.hears(&node, at, &links, now);
-                if self.site.settings.peers.iter().any(|p| p.node == node) {
+                if self.is_peer(&node) {
+                    self.carry.hears(&node, at, &links, now);
                     let view = PeerView {
                         at: now,
                         fresh,
