A leader that lost the state service and then all others lets its workers go

Ruled out: giving up machines early (they were silent for three report periods), leases.

Change: workers are not sent to a leader that had the state service by way of others and is not heard; a leader that can't confirm its lease and hears nobody sends its workers on.

--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -345,6 +345,12 @@
         hasher.finish()
     }
 
+    /// How a controller said that a link of its was, however long ago.
+    pub fn last_told(&self, node: &str, host: &Host) -> Sure {
+        let cell = self.rows.get(node).and_then(|r| r.cells.get(host));
+        cell.map_or(Sure::Unknown, |c| c.0)
+    }
+
     /// Whether any controller heard by now says that it has a way to this host.
     pub fn someone_reaches(&self, to: &Host, now: Micros) -> bool {
         let reaches = |name: &String| self.row(name, now).and_then(|r| r.cells.get(to));
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -588,7 +588,7 @@
 /// Kept machines that are named at the most.
 const KEPT: usize = 400;
 /// Share of its workers that a node which hears no other one sends on in a second.
-const SENT_ON: f64 = 0.125;
+const SENT_ON: f64 = 0.25;
 /// How often a node says which machines it keeps.
 const PUBLISH: Micros = Micros::from_millis(2000);
 
@@ -825,6 +825,13 @@
             if !current || report.fence > self.lead.term() {
                 return self.sh.reply(id, 503, vec![], Some(1));
             }
+            // A leader that can't know any more whether it leads, and hears nobody, would
+            // hold workers that another one takes for dead.
+            if !self.lead.is_sure(now) && !self.carry.hears_state(now) {
+                if let Some(node) = self.better_placed(&report.machine) {
+                    return self.send_away(id, &report.machine, node);
+                }
+            }
             let Some(leader) = self.leader.as_mut() else {
                 return self.sh.reply(id, 503, vec![], Some(1));
             };
@@ -863,7 +870,10 @@
             // comes back, it would most likely wait in vain while its lease
             // runs out.
             let refused = self.links.get(&leader) == Some(&Link::Refused);
-            if refused && !self.care.came_back(&report.machine, now) {
+            // A leader that had the state service by way of others only, and is not
+            // heard by now, most likely leads no more.
+            let lost = self.carry.picture.last_told(&leader, &Host::State) == Sure::Down;
+            if refused && !lost && !self.care.came_back(&report.machine, now) {
                 return self.send_away(id, &report.machine, leader);
             }
             if let Some(node) = self.better_placed(&report.machine) {
