--- a/tests/sim/links.rs
+++ b/tests/sim/links.rs
@@ -95,6 +95,7 @@
         }
         let (link, pause) = match (acked, there) {
             (true, _) => (Link::Up, 4 * MS),
+            (false, true) if !self.broken.refuse.is_empty() => (Link::Refused, 4 * MS),
             (false, true) => (Link::Silent, 1500 * MS),
             (false, false) => (Link::Refused, 4 * MS),
         };
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -82,6 +82,8 @@
     pub frozen: BTreeMap<usize, usize>,
     /// Controllers cut off from these: `all`, `state`, `workers` or `peers`.
     pub node_cut: BTreeMap<usize, (usize, String)>,
+    /// Steps by which connections between controllers are refused.
+    pub refuse: BTreeSet<usize>,
     /// Directed links that are cut, from and to.
     pub links: BTreeMap<usize, Vec<(links::End, links::End)>>,
     /// Boots take so many times as long; 0: machines never come up.
@@ -354,7 +356,7 @@
                     let (a, b) = (&self.nodes[n].settings.zone, &self.nodes[other].settings.zone);
                     let cut = self.broken.cut_off(n, "peers") || self.broken.cut_off(other, "peers");
                     let open = self.passes(&links::End::Node(n), &links::End::Node(other));
-                    let arrives = !cut && self.zones_reach(a, b) && open;
+                    let arrives = !cut && self.zones_reach(a, b) && open && self.broken.refuse.is_empty();
                     self.tell_link(n, other, arrives);
                     if arrives {
                         let life = self.nodes[other].life;
@@ -488,6 +490,9 @@
                     self.broken.node_cut.insert(i, (n, from));
                 }
             }
+            Act::PeersRefuse => {
+                self.broken.refuse.insert(i);
+            }
             Act::LinkCut(from, to) => {
                 if let (Some(from), Some(to)) = (self.fixed(&from), self.fixed(&to)) {
                     let pairs = from.iter().flat_map(|a| to.iter().map(move |b| (a.clone(), b.clone())));
@@ -538,6 +543,7 @@
         b.lose_txn.remove(&i);
         b.hold_direct.remove(&i);
         b.node_cut.remove(&i);
+        b.refuse.remove(&i);
         b.links.remove(&i);
         b.boots.remove(&i);
         b.storm.remove(&i);
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -39,6 +39,8 @@
     FreezeOnGrant,
     /// A controller is cut off from `all`, `state`, `workers` or `peers`.
     NodeCut(String, String),
+    /// Connections between controllers are refused.
+    PeersRefuse,
     /// Packets from one end to another are lost.
     LinkCut(super::links::End, super::links::End),
     /// Machines rented now boot so many times as long; 0: never.
@@ -307,6 +309,7 @@
                     "freeze-on-grant" => Act::FreezeOnGrant,
                     "freeze" => Act::Freeze(w.word(3)?.into()),
                     "node-cut" => Act::NodeCut(w.word(3)?.into(), w.word(4)?.into()),
+                    "peers-refuse" => Act::PeersRefuse,
                     "link-cut" => {
                         use super::links::End;
                         Act::LinkCut(End::parse(w.word(3)?)?, End::parse(w.word(4)?)?)
