A page and its conditions stay below the 64 KiB of a transaction

Cause: with values of 200 KiB and 300 operations a transaction, settings that no deployment has yet, a page of 300 jobs made a transaction of 107 KB, which the state service calls malformed: those users were refused.

Change: a page leaves room for a condition for each of its jobs, 256 of them at most.

--- a/src/coordination/desk/accept.rs
+++ b/src/coordination/desk/accept.rs
@@ -11,6 +11,12 @@
 use crate::time::Micros;
 use glenhaven_intake::{Batch, Room};
 
+/// Room in a transaction, below the service's 64 KiB.
+const TXN_BYTES: usize = 62 * 1024;
+/// Jobs in a page at most, and what a condition takes: ids have up to 64 bytes.
+const MOST_JOBS: usize = 256;
+const CONDITION: usize = 100;
+
 impl Desk {
     /// News of jobs, in the order in which they were made. Older ones never replace newer.
     fn learn_news(&mut self, events: &[Event]) {
@@ -72,9 +78,13 @@
             return;
         }
         let state = &site.settings.params.state;
+        // The transaction holds the page and a condition for each job: with large values,
+        // its own limit is met before that of the value.
+        let jobs = (state.txn_ops * 4).saturating_sub(1).clamp(1, MOST_JOBS);
+        let bytes = ((state.value_kb * 1024.0) as usize).min(TXN_BYTES - jobs * CONDITION);
         let room = Room {
-            bytes: ((state.value_kb * 1024.0) as usize).saturating_sub(PAGE_FRAME),
-            jobs: (state.txn_ops * 4).saturating_sub(1).max(1),
+            bytes: bytes.saturating_sub(PAGE_FRAME),
+            jobs,
         };
         let mut sent = 0.0;
         while sh.store.write_allowed(sent + 1.0, Urgency::User, sh.now) {
