--- a/tests/lives.rs
+++ b/tests/sim/lives.rs
@@ -1,54 +1,22 @@
 //! A process that ends is back within a fraction of a second, while answers to what its
 //! earlier life asked are still on their way.
 
+use super::script::Script;
 use glenhaven::bookkeeping::records::{to_value, Term};
 use glenhaven::coordination::{Command, Core, Effect};
 use glenhaven::protocol::peer::{Link, PeerMessage};
 use glenhaven::protocol::store::{Row, Rows, StoreAnswer, StoreRequest};
 use glenhaven::protocol::workers::{Orders, Report};
-use glenhaven::settings::Settings;
 use glenhaven::time::Micros;
 
-const SETTINGS: &str = r#"
-node = "node-0"
-zone = "a"
-public_addr = "10.0.0.1:8080"
-peer_bind = "10.0.0.1:8081"
-[[peers]]
-node = "node-1"
-zone = "a"
-addr = "10.0.0.2:8081"
-[services]
-cloud = "10.2.0.2:8443"
-state = "10.2.0.1:2379"
-[params]
-[[params.teams]]
-name = "blue"
-[params.workers]
-report_s = 1.5
-lease_s = 10.0
-cancel_s = 40.0
-[params.state]
-rps = 250.0
-write_rps = 100.0
-value_kb = 32.0
-txn_ops = 32
-[params.cloud]
-rps = 5.0
-list_lag_s = 8.0
-[params.resources]
-cpu = 0.2
-mem_mb = 100.0
-sockets = 500
-"#;
-
 fn at(ms: u64) -> Micros {
     Micros::from_millis(86_400_000 + ms)
 }
 
 /// A life of a node that knows node-1 to lead and reaches it.
 fn life(seed: u64) -> Core {
-    let mut core = Core::new(Settings::parse(SETTINGS).unwrap(), seed, at(0));
+    let settings = Script::parse("nodes a a").unwrap().settings().remove(0);
+    let mut core = Core::new(settings, seed, at(0));
     let effects = core.handle(at(0), vec![]);
     let read = effects.iter().find_map(|e| match e {
         Effect::Store {
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod cloud;
 pub mod links;
+mod lives;
 mod matrix;
 pub mod rules;
 pub mod script;
