Work under way: one place renews leases; controllers vouch for each other in an outage

Renewals of workers' leases rest on one proven instant, checked in one module. While the state service answers nobody, all other controllers together prove that nothing was confirmed.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -18,6 +18,10 @@
 
 /// The first release that keeps jobs waiting for others.
 pub const CHAINS: u32 = 1;
+/// The first that says what it confirmed while the state service answers nobody.
+pub const VOUCHES: u32 = 2;
+/// The present one.
+pub const RELEASE: u32 = VOUCHES;
 
 /// Who leads.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/coordination/book.rs
+++ b/src/coordination/book.rs
@@ -92,6 +92,8 @@
     /// The version that its own key has while it is open; 0: there is none.
     pub stamp: u64,
     pub cancelled: Option<Micros>,
+    /// Up to then nobody had confirmed its cancellation, as far as is known.
+    pub unknown_at: Micros,
     /// Version of the job's key that says so, if known.
     pub cancel_version: u64,
     /// The page of the book that describes it; 0: none does.
@@ -147,6 +149,7 @@
             version,
             stamp,
             cancelled: None,
+            unknown_at: Micros::ZERO,
             cancel_version: 0,
             base: 0,
             closing: false,
@@ -442,6 +445,10 @@
     pub fleet: super::fleet::Fleet,
     pub boots: super::boots::Boots,
     pub new_term: Option<&'static str>,
+    /// Every cancellation that was confirmed before this is in the book.
+    pub proven: Micros,
+    /// Machines on which a cancelled job's task may be, or come to be, for some time.
+    pub unsettled: BTreeSet<MachineId>,
     pub next_machines: Micros,
     pub next_pace: Micros,
     pub next_care: Micros,
@@ -507,6 +514,8 @@
             fleet: super::fleet::Fleet::new(now),
             boots: super::boots::Boots::default(),
             new_term: None,
+            proven: Micros::ZERO,
+            unsettled: BTreeSet::new(),
             next_machines: now,
             next_pace: now,
             next_care: now,
@@ -632,6 +641,7 @@
         }
         tracing::debug!(job = id, on_machines = job.placed.len(), "job cancelled");
         job.cancelled = Some(now);
+        job.unknown_at = self.proven;
         job.waiting.clear();
         self.committer.unwritten.insert((job.version, job.id.clone()));
         if job.placed.is_empty() {
--- a/src/coordination/desk.rs
+++ b/src/coordination/desk.rs
@@ -5,6 +5,7 @@
 //! known from a page of acceptances; its own key exists once it is over, for ever.
 
 mod accept;
+mod cancelled;
 mod named;
 
 pub use named::Held;
@@ -121,6 +122,11 @@
     known: BTreeMap<String, Known>,
     /// Open jobs that name others, and those that they name.
     chains: Chains<Held>,
+    /// The latest cancelled jobs that are known here.
+    cancelled: BTreeSet<String>,
+    /// By version; those up to this one are no longer among them.
+    cancelled_order: BTreeMap<u64, Vec<String>>,
+    cancelled_before: u64,
     next_named: Micros,
     order: VecDeque<String>,
     pending: BTreeMap<u64, Pending>,
@@ -154,6 +160,9 @@
             next_sync: Micros::ZERO,
             known: BTreeMap::new(),
             chains: Chains::new(),
+            cancelled: BTreeSet::new(),
+            cancelled_order: BTreeMap::new(),
+            cancelled_before: 0,
             next_named: Micros::ZERO,
             order: VecDeque::new(),
             pending: BTreeMap::new(),
@@ -201,6 +210,9 @@
             Some(known) => *known = new,
             None => self.remember(job.to_string(), new),
         }
+        if phase == Phase::Cancelled {
+            self.note_cancelled(job, version);
+        }
         if phase.is_final() {
             self.counts.remove(job);
             self.intake.over(job);
--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -5,7 +5,7 @@
 use super::store_queue::Urgency;
 use super::{times, Core, Effect, Shared, Wait};
 use crate::bookkeeping::keys;
-use crate::bookkeeping::records::{from_value, to_value, Release, Term, CHAINS};
+use crate::bookkeeping::records::{from_value, to_value, Release, Term, CHAINS, RELEASE};
 use crate::protocol::peer::PeerMessage;
 use crate::protocol::store::{Change, Condition, Event, Row, StoreAnswer, StoreRequest, Txn};
 use crate::settings::Settings;
@@ -82,6 +82,8 @@
     current: Option<(Term, u64)>,
     live: Option<(String, u64)>,
     known: bool,
+    /// The revision at which this life of the process began to read.
+    read_from: Option<u64>,
     /// When the requests were sent that proved what we know.
     terms_at: Micros,
     jobs_at: Micros,
@@ -128,6 +130,7 @@
             current: None,
             live: None,
             known: false,
+            read_from: None,
             terms_at: Micros::ZERO,
             jobs_at: Micros::ZERO,
             terms_after: 0,
@@ -213,6 +216,17 @@
         self.known.then_some(self.jobs_after)
     }
 
+    /// What earlier lives of this process did was done by this revision, once anything was
+    /// read in this one.
+    pub fn read_from(&self) -> Option<u64> {
+        self.read_from
+    }
+
+    /// The release that a controller said it runs; 0: it said nothing.
+    pub fn release(&self, node: &str) -> u32 {
+        self.releases.get(node).map_or(0, |r| r.release)
+    }
+
     pub fn is_known(&self) -> bool {
         self.known && self.current.is_some()
     }
@@ -320,6 +334,7 @@
                         self.lead.live = None;
                     }
                     self.lead.known = true;
+                    self.lead.read_from.get_or_insert(rows.revision);
                     self.lead.terms_after = rows.revision;
                     self.lead.jobs_after = rows.revision;
                     self.watch_terms(Micros::ZERO);
@@ -361,6 +376,7 @@
                     }
                     self.lead.jobs_after = self.lead.jobs_after.max(events.revision);
                     self.lead.jobs_at = self.lead.jobs_at.max(sent);
+                    self.prove_to_leader();
                     // Every watch that is opened counts as a request: the news
                     // of a moment are fetched at once. Only the leader acts on
                     // them soon.
@@ -442,7 +458,7 @@
         let said = self.lead.releases.get(&self.lead.node);
         if self.lead.said.release == 0 {
             let began_ms = self.sh.time_of_day(self.began).max(1);
-            let release = CHAINS;
+            let release = RELEASE;
             self.lead.said = Release { release, began_ms };
             let before = said.map_or(0, |s| s.began_ms);
             let apart = Micros::from_millis(began_ms.saturating_sub(before));
@@ -754,6 +770,7 @@
                     let mut leader = Leader::new(incarnation, self.lead.term(), now);
                     leader.day_ms = self.sh.day_ms;
                     self.leader = Some(leader);
+                    self.prove_to_leader();
                     self.set_rates();
                 }
             }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -18,6 +18,7 @@
 pub mod pace;
 pub mod placement;
 pub mod pools;
+pub mod renewal;
 pub mod replicas;
 pub mod store_queue;
 pub mod times;
@@ -37,6 +38,7 @@
 use fleet::CloudDesk;
 use glenhaven_limits::Limits;
 use leadership::{Leadership, Role};
+use renewal::Vouchers;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -278,6 +280,8 @@
     desk: Desk,
     cloud: CloudDesk,
     care: Caretaker,
+    /// What the others said that they confirmed, while the state service did not answer.
+    vouchers: Vouchers,
     leader: Option<book::Leader>,
     peers: BTreeMap<String, PeerView>,
     links: BTreeMap<String, Link>,
@@ -328,6 +332,7 @@
             desk: Desk::new(&node),
             cloud: CloudDesk::new(now),
             care,
+            vouchers: Vouchers::new(now),
             leader: None,
             peers: BTreeMap::new(),
             links: BTreeMap::new(),
@@ -585,7 +590,9 @@
                 }
             }
             PeerMessage::Report { node, id, report } => self.on_passed(node, id, report),
-            PeerMessage::Answered { id, orders } => self.care.answered(&mut self.sh, id, orders),
+            PeerMessage::Answered { id, orders } => self.care.answered(&mut self.sh, &self.desk, id, orders),
+            PeerMessage::Inquire { node, round, seen } => self.on_inquire(node, round, seen),
+            PeerMessage::Vouched { node, round, cancelled } => self.on_vouched(&node, round, cancelled),
             PeerMessage::Recall { node } => self.recall(node),
             PeerMessage::Recalled { node, reports } => self.on_recalled(&node, reports),
             PeerMessage::Relay { node, id, addr, body } => self.relay(node, id, addr, body),
@@ -615,7 +622,9 @@
         self.tick_audit();
         let seen = self.lead.jobs_seen_if_known();
         self.desk.tick(&mut self.sh, &self.site, seen);
-        self.care.tick(&mut self.sh, &self.lead, &self.desk, &self.site);
+        self.tick_vouchers();
+        self.care
+            .tick(&mut self.sh, &self.lead, &self.vouchers, &self.desk, &self.site);
         self.tick_cloud();
         self.tick_leader();
         if now >= self.next_alive {
--- a/src/coordination/workers.rs
+++ b/src/coordination/workers.rs
@@ -5,13 +5,13 @@
 use super::commit::LeaderWait;
 use super::desk::Desk;
 use super::leadership::{LeadWait, Leadership, Role};
+use super::renewal::{self, Vouchers, ORDERS};
 use super::store_queue::Urgency;
 use super::{times, Core, DirectAnswer, Effect, JobId, Shared, Site, Wait};
 use crate::bookkeeping::keys;
 use crate::bookkeeping::records::{to_value, Care};
 use crate::protocol::peer::{Link, PeerMessage};
 use crate::protocol::store::{Change, StoreRequest, Txn};
-use crate::protocol::users::Phase;
 use crate::protocol::workers::{Cause, Direct, Elsewhere, Order, Orders, Report, TaskPhase};
 use crate::protocol::{json_size, to_cbor};
 use crate::settings::Workers;
@@ -22,8 +22,6 @@
 
 /// Reports that wait until a new leader can answer them.
 const EARLY: usize = 4000;
-/// Orders in one message, well under the 64 KiB for responses.
-const ORDERS: usize = 300;
 /// A direct order with no answer by then is in doubt.
 const DIRECT_TIMEOUT: Micros = Micros::from_millis(1500);
 /// The same by way of another node.
@@ -529,6 +527,7 @@
         }
         self.next_machines = now + Micros::from_millis(500);
         self.ask_the_deaf(sh, now);
+        self.look_for_unsettled(now);
         let quiet = Self::work_silence(site);
         self.look_at_zones(site, now);
         self.log_replicas(site, now);
@@ -640,9 +639,11 @@
     }
 
     /// The leader's answer to a report that was passed on.
-    pub fn answered(&mut self, sh: &mut Shared, id: u64, orders: Orders) {
+    /// What this node knows to be cancelled, and the leader may not, is stopped with it.
+    pub fn answered(&mut self, sh: &mut Shared, desk: &Desk, id: u64, mut orders: Orders) {
         if let Some(f) = self.forwarded.remove(&id) {
             self.kept.remove(&f.report.machine);
+            renewal::add_stops(desk, &f.report, &mut orders.orders);
             sh.reply(f.reply, 200, to_cbor(&orders), None);
         }
     }
@@ -723,7 +724,7 @@
     }
 
     /// Answers reports that the leader has not answered in time.
-    pub fn tick(&mut self, sh: &mut Shared, lead: &Leadership, desk: &Desk, site: &Site) {
+    pub fn tick(&mut self, sh: &mut Shared, lead: &Leadership, vouchers: &Vouchers, desk: &Desk, site: &Site) {
         let now = sh.now;
         let late: Vec<u64> = self
             .forwarded
@@ -733,7 +734,7 @@
             .collect();
         for id in late {
             if let Some(f) = self.forwarded.remove(&id) {
-                if answer_alone(sh, lead, desk, site, f.reply, &f.report) {
+                if answer_alone(sh, lead, vouchers, desk, site, f.reply, &f.report) {
                     self.kept.insert(f.report.machine.clone(), now);
                 }
             }
@@ -769,36 +770,28 @@
     }
 }
 
-/// Keeps a worker's lease alive without the leader: allowed only while this
-/// node's knowledge of the term and of every reported job is current, so that no
-/// cancelled task outlives its time and no worker is held by an old token.
-fn answer_alone(sh: &mut Shared, lead: &Leadership, desk: &Desk, site: &Site, reply: u64, report: &Report) -> bool {
-    let current = sh.now.since(lead.fresh()) < site.knowledge_limit();
-    let mut orders = vec![];
-    let mut all_known = true;
-    for t in report.tasks.iter().filter(|t| t.phase != TaskPhase::Exited) {
-        let phase = parse_task(&t.task).and_then(|(job, _)| desk.phase(job));
-        match phase {
-            None => all_known = false,
-            Some(Phase::Cancelled) if orders.len() < ORDERS => orders.push(Order::Stop {
-                task: t.task.clone(),
-                attempt: t.attempt,
-                grace_s: 0.0,
-            }),
-            Some(_) => {}
+/// Keeps a worker's lease alive without the leader: only while this node knows the state of
+/// every job in the report, so that no cancelled task is kept.
+fn answer_alone(
+    sh: &mut Shared,
+    lead: &Leadership,
+    vouchers: &Vouchers,
+    desk: &Desk,
+    site: &Site,
+    reply: u64,
+    report: &Report,
+) -> bool {
+    let mut runs = report.tasks.iter().filter(|t| t.phase != TaskPhase::Exited);
+    let all_known = runs.all(|t| parse_task(&t.task).is_some_and(|(job, _)| desk.phase(job).is_some()));
+    let orders = all_known.then(|| vouchers.renewal(lead, desk, site, report, vec![], sh.now));
+    match orders.flatten() {
+        Some(orders) => sh.reply(reply, 200, to_cbor(&orders), None),
+        None => {
+            sh.reply(reply, 503, vec![], Some(1));
+            return false;
         }
     }
-    if current && all_known && lead.is_known() && report.fence <= lead.term() {
-        let body = to_cbor(&Orders {
-            fence: lead.term(),
-            orders,
-        });
-        sh.reply(reply, 200, body, None);
-        true
-    } else {
-        sh.reply(reply, 503, vec![], Some(1));
-        false
-    }
+    true
 }
 
 impl Core {
@@ -896,9 +889,8 @@
     /// Answers a worker's report, now or when the leader has.
     pub(super) fn answer_report(&mut self, id: u64, report: Report) {
         let now = self.sh.now;
-        let current = now.since(self.lead.fresh()) < self.site.knowledge_limit();
         if self.lead.role() == Role::Leader {
-            if !current || report.fence > self.lead.term() {
+            if !self.vouchers.may_renew(&self.lead, &self.site, now) || report.fence > self.lead.term() {
                 return self.sh.reply(id, 503, vec![], Some(1));
             }
             // A leader that can't know any more whether it leads, and hears nobody, would
@@ -921,11 +913,7 @@
                 }
                 return;
             }
-            let orders = leader.on_report(&self.site, &report, None, now, now);
-            let body = to_cbor(&Orders {
-                fence: self.lead.term(),
-                orders,
-            });
+            let body = to_cbor(&self.leaders_answer(&report, None));
             return self.sh.reply(id, 200, body, None);
         }
         for t in &report.tasks {
@@ -974,7 +962,8 @@
 
     /// Answers a report alone, and remembers the machine as kept here.
     fn keep(&mut self, id: u64, report: &Report) {
-        if answer_alone(&mut self.sh, &self.lead, &self.desk, &self.site, id, report) {
+        let (lead, vouchers, desk) = (&self.lead, &self.vouchers, &self.desk);
+        if answer_alone(&mut self.sh, lead, vouchers, desk, &self.site, id, report) {
             self.care.kept.insert(report.machine.clone(), self.sh.now);
         }
     }
@@ -1010,22 +999,35 @@
 
     fn answer_forward(&mut self, node: String, id: u64, report: Report) {
         let now = self.sh.now;
-        let current = now.since(self.lead.fresh()) < self.site.knowledge_limit();
+        let current = self.vouchers.may_renew(&self.lead, &self.site, now);
         if self.lead.role() != Role::Leader || !current || report.fence > self.lead.term() {
             return;
         }
-        let Some(leader) = self.leader.as_mut() else { return };
-        let orders = leader.on_report(&self.site, &report, Some(&node), now, now);
-        let message = PeerMessage::Answered {
-            id,
-            orders: Orders {
-                fence: self.lead.term(),
-                orders,
-            },
-        };
+        let orders = self.leaders_answer(&report, Some(&node));
+        let message = PeerMessage::Answered { id, orders };
         self.sh.out.push(Effect::Peer { to: node, message });
     }
 
+    /// What the leader answers to a report, here or by way of another node.
+    fn leaders_answer(&mut self, report: &Report, via: Option<&str>) -> Orders {
+        let now = self.sh.now;
+        let Some(leader) = self.leader.as_mut() else {
+            return renewal::dropped();
+        };
+        let orders = leader.on_report(&self.site, report, via, now, now);
+        if leader.must_lapse(&self.site, report, now) {
+            tracing::warn!(
+                machine = report.machine,
+                "not answered: a cancelled job's start may be on its way there"
+            );
+            return renewal::dropped();
+        }
+        let answer = self
+            .vouchers
+            .renewal(&self.lead, &self.desk, &self.site, report, orders, now);
+        answer.unwrap_or_else(renewal::dropped)
+    }
+
     /// A new leader asks the others, once, what workers reported last: it would
     /// hear of its machines only over a whole report period otherwise.
     pub(super) fn ask_recall(&mut self) {
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -81,6 +81,16 @@
         term: u64,
         to: Option<String>,
     },
+    /// The state service answers nobody: which cancellations does the receiver know beyond
+    /// those up to this revision, which the sender has seen? Sent only to controllers that
+    /// said that they run this release.
+    Inquire { node: String, round: u64, seen: u64 },
+    /// All of them, with the versions of their jobs' keys, as of now.
+    Vouched {
+        node: String,
+        round: u64,
+        cancelled: Vec<(String, u64)>,
+    },
 }
 
 /// A request or answer that is carried for another controller, in the form in which the
