--- /dev/null
+++ b/tests/sim/meetings.rs
@@ -0,0 +1,231 @@
+//! Meetings of troubles: worlds with long and short tasks, services, chains, a team at its
+//! limit and jobs that are cancelled all along, in which two or three troubles drawn by a seed
+//! meet. Every rule is checked, and that work goes on once they are over.
+//!
+//! `MEETINGS=n` plays n of them instead of the few that always are, `MEETINGS_FROM=seed` begins
+//! elsewhere; each is printed as it is played. What breaks a rule is printed as a scenario to be
+//! saved as a file.
+
+use super::planted::{Fault, ALL};
+use super::script::Script;
+use super::World;
+use std::fmt::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+
+/// Kinds of troubles; `{d}`: how long, `{s}`: a few seconds, `{m}`: a number of machines,
+/// `{n}`: a controller, `{q}`: a moment, `{h}`: a share. Several lines are one trouble.
+const KINDS: [&str; 30] = [
+    "crash leader for {q}",
+    "crash all for {q}",
+    "crash all for {q}\ncrash leader for {d}",
+    "crash leader for {q} every=1.5 times=4",
+    "crash {n} for {d}",
+    "cut {m} for {d}",
+    "deaf {m} for {d}",
+    "hang {m} for {s}",
+    "kill {m}",
+    "hold-direct {s} for {d}",
+    "slow-answers {s} for {d}",
+    "state-out for {d}",
+    "state-out for 55",
+    "state-deaf leader for {d}",
+    "state-deaf leader for 14\nstate-out for 55 later=1.5",
+    "state-deaf leader for 14\nstate-out for 55 later=1.5\ncrash {n} for 70 later=1.7",
+    "state-deaf leader for 14\nstate-out for 55 later=1.5\nfreeze {n} for 50 later=1.6",
+    "state-deaf leader for 14\nstate-out for 55 later=1.5\nnode-cut {n} peers for 50 later=1.6",
+    "state-out for 55\nzone-off b for 45 later=2",
+    "node-cut leader state for {d}",
+    "node-cut leader state for {d}\nnode-cut leader peers for {d}",
+    "node-cut leader state for 1 every=2 times=6\nnode-cut leader peers for 1 every=2 times=6",
+    "late-writes {h} for {d}",
+    "late-reports {h} for {d}",
+    "freeze leader for {s}",
+    "zone-cut a b for {d}",
+    "zone-off b for {d}",
+    "peers-refuse for {d}",
+    "crash-on term for {q}\ncrash-on job/ for {q}\ncrash-on open/ for {q}",
+    "state-limits",
+];
+/// The first trouble begins here, the others within so much of it.
+const BEGINS: u64 = 60;
+const UNTIL: u64 = 290;
+
+/// The world of this seed, as a scenario.
+pub fn text(seed: u64) -> String {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut t = format!("# Meeting {seed}.\nseed {seed}\nuntil {UNTIL}\nnodes a b a b a\n");
+    t.push_str("state-next writes=50 value_kb=8 ops=16\nteam blue\nteam red cpus=4 max=6\n");
+    if rng.bool() {
+        t.push_str("held-packets\n");
+    }
+    t.push_str(
+        "at 1 submit run-000001 service pieces=4 cores=2\n\
+         at 1 submit run-000002 service pieces=4 apart\n\
+         at 1 submit run-000003 service pieces=3 together team=red\n",
+    );
+    // Long tasks, cancelled before, while and after the troubles meet.
+    for n in 0..14 {
+        let (pieces, save) = (rng.u32(1..4), if rng.bool() { 4 } else { 0 });
+        // Most before the troubles begin.
+        let most = if n % 3 == 0 { 100 } else { 30 };
+        let at = 20 + rng.u64(0..most);
+        let place = ["", "apart", "together"][rng.usize(0..3)];
+        writeln!(
+            t,
+            "at {at} submit run-0001{n:02} pieces={pieces} run=400 save={save} spot {place}"
+        )
+        .unwrap();
+        let abort = if n % 3 == 0 {
+            at as f64 + rng.f64() * 70.0
+        } else {
+            BEGINS as f64 + rng.f64() * 14.0
+        };
+        writeln!(t, "at {abort:.2} abort run-0001{n:02}").unwrap();
+    }
+    // Services that are cancelled a moment after they were submitted.
+    for n in 0..6 {
+        let at = (BEGINS as f64) - 4.0 + rng.f64() * 30.0;
+        writeln!(t, "at {at:.2} submit run-0002{n:02} service pieces=2").unwrap();
+        let abort = at + 0.05 + rng.f64() * 3.0;
+        writeln!(t, "at {abort:.2} abort run-0002{n:02}").unwrap();
+    }
+    // Jobs of two or three tasks that end far apart: their team may run so many at once.
+    for n in 0..8 {
+        let (at, run) = (22 + rng.u64(0..60), 5 + rng.u64(0..25));
+        let pieces = rng.u32(2..4);
+        writeln!(t, "at {at} submit run-0003{n:02} pieces={pieces} run={run} team=red").unwrap();
+    }
+    for n in 0..3 {
+        let at = 30 + rng.u64(0..40);
+        writeln!(
+            t,
+            "at {at} submit run-0004{n}0 copies=3 chained pieces=2 run=8 estimate=8"
+        )
+        .unwrap();
+        if n == 0 {
+            writeln!(t, "at {} abort run-0004{n}1", at + rng.u64(1..30)).unwrap();
+        }
+    }
+    // Small ones all along.
+    t.push_str("at 24 submit run-000500 every=6 times=30 pieces=2 run=3 estimate=3\n");
+    // Of some of them the end and the cancellation meet.
+    for _ in 0..8 {
+        let n = rng.u64(0..20);
+        let abort = (24 + n * 6) as f64 + 2.5 + rng.f64() * 2.5;
+        writeln!(t, "at {abort:.2} abort run-0005{n:02}").unwrap();
+    }
+    let count = if rng.u32(0..4) == 0 { 3 } else { 2 };
+    let mut at = BEGINS as f64 + rng.f64() * 10.0;
+    let mut out = false;
+    for _ in 0..count {
+        let mut kind = KINDS[rng.usize(0..KINDS.len())];
+        // Two long outages would be one in which nobody is answered for as long as a job
+        // takes to be forgotten.
+        if out && kind.contains("state-out") {
+            kind = "kill {m}";
+        }
+        out |= kind.contains("state-out");
+        let lasts = [3, 8, 15, 30, 50][rng.usize(0..5)];
+        let moment = ["0.2", "1", "3", "8"][rng.usize(0..4)];
+        let filled = kind
+            .replace("{d}", &lasts.to_string())
+            .replace("{s}", &rng.u64(1..9).to_string())
+            .replace("{m}", &rng.u32(1..6).to_string())
+            .replace("{n}", &rng.u32(0..5).to_string())
+            .replace("{q}", moment)
+            .replace("{h}", ["0.1", "0.3", "0.6"][rng.usize(0..3)]);
+        for line in filled.lines() {
+            match line.split_once(" later=") {
+                Some((line, later)) => {
+                    writeln!(t, "at {:.2} {line}", at + later.parse::<f64>().unwrap()).unwrap();
+                }
+                None => writeln!(t, "at {at:.2} {line}").unwrap(),
+            }
+        }
+        at += rng.f64() * 20.0;
+    }
+    t
+}
+
+/// What is wrong with the play of this text.
+fn play(text: &str, planted: Option<Fault>) -> Vec<String> {
+    let mut world = World::new(Script::parse(text).unwrap());
+    world.planted = planted;
+    world.play();
+    let mut wrong = crate::check(&world);
+    if planted.is_none() {
+        // What was not cancelled is done long after the last trouble.
+        for (id, user) in &world.users {
+            if id.starts_with("run-0005") && !user.wants_abort && user.done.is_none() {
+                wrong.push(format!("{id} is not done at the end"));
+            }
+        }
+    }
+    wrong
+}
+
+/// The count that an environment variable names, or this.
+fn number(name: &str, otherwise: u64) -> u64 {
+    std::env::var(name)
+        .ok()
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(otherwise)
+}
+
+/// Plays these seeds on as many threads as there are cores; what was wrong with each. `until`
+/// says whether what was found is enough.
+fn search(from: u64, count: u64, planted: Option<Fault>, enough: usize) -> Vec<(u64, Vec<String>)> {
+    let next = AtomicU64::new(from);
+    let found = Mutex::new(vec![]);
+    let threads = std::thread::available_parallelism().map_or(4, |n| n.get());
+    let told = std::env::var("MEETINGS").is_ok();
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= from + count || found.lock().unwrap().len() >= enough {
+                    return;
+                }
+                let text = text(seed);
+                let wrong = play(&text, planted);
+                if told {
+                    let verdict = if wrong.is_empty() { "held" } else { "BROKEN" };
+                    println!("meeting {seed}: {verdict}");
+                }
+                if !wrong.is_empty() {
+                    found.lock().unwrap().push((seed, wrong));
+                }
+            });
+        }
+    });
+    let mut found = found.into_inner().unwrap();
+    found.sort();
+    found
+}
+
+#[test]
+fn meetings_of_two_and_three_troubles() {
+    let count = number("MEETINGS", 120);
+    let found = search(number("MEETINGS_FROM", 0), count, None, 5);
+    let told: Vec<String> = found
+        .iter()
+        .map(|(seed, wrong)| format!("meeting {seed}: {}\n{}", wrong.join("; "), text(*seed)))
+        .collect();
+    assert!(told.is_empty(), "\n{}", told.join("\n"));
+}
+
+/// The search finds each of these within so many seeds.
+#[test]
+fn planted_faults_are_found() {
+    let most = number("MEETINGS_PLANTED", 120);
+    let mut missed = vec![];
+    for fault in ALL {
+        let found = search(0, most, Some(fault), 1);
+        match found.first() {
+            Some((seed, wrong)) => println!("{fault:?}: seed {seed}: {}", wrong[0]),
+            None => missed.push(fault),
+        }
+    }
+    assert!(missed.is_empty(), "not found within {most} seeds: {missed:?}");
+}
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -6,6 +6,8 @@
 pub mod links;
 mod lives;
 mod matrix;
+mod meetings;
+pub mod planted;
 pub mod rules;
 pub mod script;
 pub mod shares;
@@ -39,7 +41,8 @@
     ReportLate(String, u64),
     Boot(String),
     User(String),
-    UserAnswer(String, u64, Outgoing),
+    /// The answer to a user's request, and when it left the controller.
+    UserAnswer(String, u64, u64, Outgoing),
     UserLate(String, u64),
     Step(usize),
     Heal(usize),
@@ -80,6 +83,9 @@
     /// Transactions whose answers are lost, and how late they are executed.
     pub lose_txn: BTreeMap<usize, u64>,
     pub hold_direct: BTreeMap<usize, u64>,
+    /// Shares of transactions that are executed late, and of reports that arrive again.
+    pub late_writes: BTreeMap<usize, f64>,
+    pub late_reports: BTreeMap<usize, f64>,
     /// Controllers that stand still, their clocks running on.
     pub frozen: BTreeMap<usize, usize>,
     /// Controllers cut off from these: `all`, `state`, `workers` or `peers`.
@@ -146,6 +152,8 @@
     /// What each controller was last told of its link to another.
     pub links_told: BTreeMap<(usize, usize), bool>,
     pub results: BTreeSet<String>,
+    /// A fault that the search for meetings is to find.
+    pub planted: Option<planted::Fault>,
 }
 
 impl World {
@@ -190,6 +198,7 @@
             next_id: 0,
             links_told: BTreeMap::new(),
             results: BTreeSet::new(),
+            planted: None,
             script,
         }
     }
@@ -292,7 +301,10 @@
             Ev::Cloud(n, life, id, request) => self.cloud_request(n, life, id, request),
             Ev::Direct(n, life, id, addr, body) => self.direct_request(n, life, id, &addr, &body),
             Ev::Worker(name) => self.worker_wakes(&name),
-            Ev::Report(name, n, rid, report) => {
+            Ev::Report(name, n, rid, mut report) => {
+                if rid == u64::MAX {
+                    self.plant_copy(&mut report);
+                }
                 let life = self.nodes[n].life;
                 let arrives = self.passes(&self.zone_end(&name), &links::End::Node(n));
                 if self.nodes[n].core.is_none() && self.reaches(n, &name) && arrives {
@@ -303,13 +315,16 @@
                     let id = self.id();
                     self.origins.insert(id, Origin::Worker(name, rid));
                     self.event(Ev::Command(n, life, Command::Report { id, report }));
+                } else if self.script.held_packets && rid != u64::MAX {
+                    // It arrives when its worker has long asked another controller.
+                    self.held.push((n, Ev::Report(name, n, u64::MAX, report)));
                 }
             }
             Ev::ReportAnswer(name, rid, answer) => self.report_answered(&name, rid, answer),
             Ev::ReportLate(name, rid) => self.report_late(&name, rid),
             Ev::Boot(name) => self.boot(&name),
             Ev::User(job) => self.user_acts(&job),
-            Ev::UserAnswer(job, rid, answer) => self.user_answered(&job, rid, answer),
+            Ev::UserAnswer(job, rid, left, answer) => self.user_answered(&job, rid, left, answer),
             Ev::UserLate(job, rid) => self.user_late(&job, rid),
             Ev::Step(i) => self.step(i),
             Ev::Heal(i) => self.heal(i),
@@ -347,6 +362,7 @@
             return;
         };
         let effects = core.handle(now, batch);
+        let effects = self.plant(n, effects);
         let asks =
             |e: &Effect| matches!(e, Effect::Store { request, .. } if matches!(request, StoreRequest::Grant { .. }));
         if effects.iter().any(asks) {
@@ -368,13 +384,17 @@
                         }
                     }
                     Some(Origin::User(..)) if self.broken.cut_off(n, "users") => {}
-                    Some(Origin::User(job, rid)) => self.after(hop, Ev::UserAnswer(job, rid, answer)),
+                    Some(Origin::User(job, rid)) => self.after(hop, Ev::UserAnswer(job, rid, self.now, answer)),
                     None => {}
                 },
                 Effect::Store { id, request, timeout } => {
                     let answer = glenhaven::protocol::store::StoreAnswer::Unknown;
                     self.after(timeout.0, Ev::Command(n, life, Command::Store { id, answer }));
                     if self.broken.cut_off(n, "state") || !self.passes(&links::End::Node(n), &links::End::State) {
+                        // Its sender has given it up by the time that it is delivered.
+                        if self.script.held_packets && matches!(request, StoreRequest::Txn(_)) {
+                            self.held.push((n, Ev::Store(n, u64::MAX, id, request)));
+                        }
                         continue;
                     }
                     self.after(hop, Ev::Store(n, life, id, request));
@@ -383,6 +403,10 @@
                     let answer = glenhaven::coordination::CloudAnswer::Unknown;
                     self.after(timeout.0, Ev::Command(n, life, Command::Cloud { id, answer }));
                     if self.broken.cut_off(n, "cloud") || !self.passes(&links::End::Node(n), &links::End::Cloud) {
+                        let late = !matches!(request, glenhaven::coordination::CloudRequest::Release(_));
+                        if self.script.held_packets && late {
+                            self.held.push((n, Ev::Cloud(n, u64::MAX, id, request)));
+                        }
                         continue;
                     }
                     self.after(hop * 10, Ev::Cloud(n, life, id, request));
@@ -410,6 +434,10 @@
                     if arrives {
                         let life = self.nodes[other].life;
                         self.after(hop, Ev::Command(other, life, Command::Peer(message)));
+                    } else if self.script.held_packets && self.broken.refuse.is_empty() {
+                        let life = self.nodes[other].life;
+                        let ev = Ev::Command(other, life, Command::Peer(message));
+                        self.held.push((n, ev));
                     }
                 }
             }
@@ -483,6 +511,12 @@
             Act::LoseTxn(late) => {
                 self.broken.lose_txn.insert(i, late);
             }
+            Act::LateWrites(share) => {
+                self.broken.late_writes.insert(i, share);
+            }
+            Act::LateReports(share) => {
+                self.broken.late_reports.insert(i, share);
+            }
             Act::HoldDirect(late) => {
                 self.broken.hold_direct.insert(i, late);
             }
@@ -611,6 +645,8 @@
         b.zone_off.remove(&i);
         b.lose_txn.remove(&i);
         b.hold_direct.remove(&i);
+        b.late_writes.remove(&i);
+        b.late_reports.remove(&i);
         b.node_cut.remove(&i);
         b.refuse.remove(&i);
         b.links.remove(&i);
--- /dev/null
+++ b/tests/sim/planted.rs
@@ -0,0 +1,158 @@
+//! Faults that the runner plants between a controller and the world, one for a guard each,
+//! to show that the search for meetings finds them. The controllers' own code is what it is
+//! in the daemon: nothing there can be switched.
+
+use super::{Ev, Origin, World};
+use glenhaven::coordination::{CloudAnswer, CloudRequest, Command, Effect};
+use glenhaven::protocol::peer::PeerMessage;
+use glenhaven::protocol::store::{Change, StoreRequest, Txn};
+use glenhaven::protocol::workers::{Order, Orders, Report};
+use glenhaven::protocol::{from_cbor, to_cbor};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Fault {
+    /// A report that may not be answered is answered all the same, with the highest fence.
+    RenewsUnproven,
+    /// The word of one controller is taken for that of all.
+    OneVouchesForAll,
+    /// Answers stop nothing.
+    StopsNothing,
+    /// Starts are recorded whatever the job's own key says.
+    StartsWhateverTheKey,
+    /// The book is written whoever leads.
+    WritesWhoeverLeads,
+    /// Pages are written over whatever their version.
+    WritesOverPages,
+    /// A cancellation is written over whatever the job's own key says.
+    CancelsWhateverTheKey,
+    /// A report of an earlier session is taken for one of a later session.
+    TakesEarlierSessions,
+    /// A task that exited is forgotten at once, whatever is on its way.
+    ForgetsAtOnce,
+    /// What the cloud has not confirmed is taken for gone.
+    TakesReleaseForGranted,
+    /// A job that can't be decided now is called unknown.
+    ForgetsInDoubt,
+}
+
+pub const ALL: [Fault; 11] = [
+    Fault::RenewsUnproven,
+    Fault::OneVouchesForAll,
+    Fault::StopsNothing,
+    Fault::StartsWhateverTheKey,
+    Fault::WritesWhoeverLeads,
+    Fault::WritesOverPages,
+    Fault::CancelsWhateverTheKey,
+    Fault::TakesEarlierSessions,
+    Fault::ForgetsAtOnce,
+    Fault::TakesReleaseForGranted,
+    Fault::ForgetsInDoubt,
+];
+
+impl World {
+    /// A copy of an earlier session's report, made to look like a later one's.
+    pub fn plant_copy(&mut self, report: &mut Report) {
+        if self.planted != Some(Fault::TakesEarlierSessions) {
+            return;
+        }
+        let session = self.workers.get(&report.machine).map_or(0, |w| w.session());
+        if report.session < session {
+            report.session = session + 1;
+        }
+    }
+
+    /// What a controller with the planted fault would do instead.
+    pub fn plant(&mut self, n: usize, effects: Vec<Effect>) -> Vec<Effect> {
+        let Some(fault) = self.planted else { return effects };
+        let mut out = vec![];
+        for mut effect in effects {
+            match &mut effect {
+                Effect::Reply { id, answer } => match self.origins.get(id) {
+                    Some(Origin::Worker(..)) if fault == Fault::RenewsUnproven && answer.status == 503 => {
+                        let fence = self.last_term();
+                        answer.status = 200;
+                        answer.body = to_cbor(&Orders { fence, orders: vec![] });
+                    }
+                    Some(Origin::Worker(name, _)) if answer.status == 200 => {
+                        if let Ok(mut orders) = from_cbor::<Orders>(&answer.body) {
+                            if fault == Fault::StopsNothing {
+                                orders.orders.retain(|o| !matches!(o, Order::Stop { .. }));
+                            }
+                            if fault == Fault::ForgetsAtOnce {
+                                let tasks = self.workers.get(name).map(|w| &w.tasks);
+                                for (task, attempt) in tasks.into_iter().flat_map(|t| t.keys()) {
+                                    let (task, attempt) = (task.clone(), *attempt);
+                                    orders.orders.push(Order::Forget { task, attempt });
+                                }
+                            }
+                            answer.body = to_cbor(&orders);
+                        }
+                    }
+                    Some(Origin::User(..)) if fault == Fault::ForgetsInDoubt && answer.status == 503 => {
+                        answer.status = 404;
+                    }
+                    _ => {}
+                },
+                Effect::Store {
+                    request: StoreRequest::Txn(txn),
+                    ..
+                } => strip(fault, txn),
+                Effect::Direct { body, .. } if fault == Fault::StopsNothing => {
+                    body.orders.retain(|o| !matches!(o, Order::Stop { .. }));
+                }
+                Effect::Peer {
+                    to,
+                    message: PeerMessage::Vouched { round, cancelled, .. },
+                } if fault == Fault::OneVouchesForAll => {
+                    // Its word is repeated in the name of every other.
+                    for other in 0..self.nodes.len() {
+                        let node = self.nodes[other].settings.node.clone();
+                        if other != n && node != *to {
+                            let (round, cancelled) = (*round, cancelled.clone());
+                            out.push(Effect::Peer {
+                                to: to.clone(),
+                                message: PeerMessage::Vouched { node, round, cancelled },
+                            });
+                        }
+                    }
+                }
+                Effect::Cloud {
+                    id,
+                    request: CloudRequest::Release(_),
+                    ..
+                } if fault == Fault::TakesReleaseForGranted => {
+                    let answer = CloudAnswer::Released;
+                    let life = self.nodes[n].life;
+                    self.after(1, Ev::Command(n, life, Command::Cloud { id: *id, answer }));
+                    continue;
+                }
+                _ => {}
+            }
+            out.push(effect);
+        }
+        out
+    }
+}
+
+/// Takes those conditions away that guard against this fault.
+fn strip(fault: Fault, txn: &mut Txn) {
+    use glenhaven::bookkeeping::keys;
+    let puts = |prefix: &str| {
+        txn.changes
+            .iter()
+            .any(|c| matches!(c, Change::Put { key, .. } if key.starts_with(prefix)))
+    };
+    let (book, accepts) = (puts(keys::OPEN), puts(keys::ACCEPTED));
+    let own_keys = puts(keys::JOBS) && !accepts && !book;
+    let own = |key: &str| key.starts_with(keys::JOBS) && !key.starts_with(keys::ACCEPTED);
+    match fault {
+        Fault::StartsWhateverTheKey if book => txn.conditions.retain(|c| !own(&c.key)),
+        Fault::WritesWhoeverLeads if book => txn.conditions.retain(|c| !c.key.starts_with(keys::TERM)),
+        Fault::WritesOverPages => {
+            txn.conditions
+                .retain(|c| !c.key.starts_with(keys::OPEN) && !c.key.starts_with(keys::ACCEPTED));
+        }
+        Fault::CancelsWhateverTheKey if own_keys => txn.conditions.retain(|c| !own(&c.key)),
+        _ => {}
+    }
+}
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -24,6 +24,11 @@
     CloudOut,
     /// Transactions go unanswered; half are executed this much later.
     LoseTxn(u64),
+    /// So large a share of transactions gets no answer and is executed 2 to 12 s later,
+    /// after newer ones.
+    LateWrites(f64),
+    /// Of so large a share of reports a copy arrives again, after 2 s to well over a lease.
+    LateReports(f64),
     /// Direct orders arrive this much later.
     HoldDirect(u64),
     Cut(usize),
@@ -111,6 +116,9 @@
     pub types: Vec<MachineType>,
     pub capacity: u32,
     pub dead_boots: u32,
+    /// Packets between hosts that can't reach each other are held back, and delivered
+    /// when they can.
+    pub held_packets: bool,
     pub steps: Vec<Step>,
     pub expect: Vec<Expect>,
 }
@@ -202,6 +210,11 @@
 }
 
 impl Script {
+    /// A worker's lease.
+    pub fn lease(&self) -> u64 {
+        (self.base.params.workers.lease_s * SEC as f64) as u64
+    }
+
     /// When the last trouble is over.
     pub fn calm_from(&self) -> u64 {
         let quiet = |a: &Act| {
@@ -214,6 +227,9 @@
         let over = |s: &Step| match &s.act {
             // Copies come after the trouble that made them.
             Act::Copies(late) => s.at + s.lasts.unwrap_or(0) + late,
+            Act::LateReports(_) => s.at + s.lasts.unwrap_or(0) + 2 * self.lease(),
+            Act::LateWrites(_) | Act::LoseTxn(_) => s.at + s.lasts.unwrap_or(0) + 12 * SEC,
+            Act::HoldDirect(late) => s.at + s.lasts.unwrap_or(0) + late,
             Act::Crash(_) | Act::CrashOn(_) => s.at + s.lasts.unwrap_or(3 * SEC),
             _ => s.at + s.lasts.unwrap_or(0),
         };
@@ -234,6 +250,7 @@
             types: vec![],
             capacity: 20,
             dead_boots: 0,
+            held_packets: false,
             steps: vec![],
             expect: vec![],
         };
@@ -299,6 +316,7 @@
             "until" => self.until = secs(w.word(1)?)?,
             "nodes" => self.zones = w.plain[1..].iter().map(|z| z.to_string()).collect(),
             "list-lag" => p.cloud.list_lag_s = w.word(1)?.parse().map_err(|_| "list-lag")?,
+            "held-packets" => self.held_packets = true,
             "capacity" => self.capacity = w.word(1)?.parse().map_err(|_| "capacity")?,
             "dead-boots" => self.dead_boots = w.word(1)?.parse().map_err(|_| "dead-boots")?,
             "workers" => {
@@ -348,6 +366,8 @@
                     "state-deaf" => Act::StateDeaf(w.word(3)?.parse().unwrap_or(usize::MAX)),
                     "cloud-out" => Act::CloudOut,
                     "lose-txn" => Act::LoseTxn(secs(w.word(3)?)?),
+                    "late-writes" => Act::LateWrites(w.word(3)?.parse().map_err(|_| "share")?),
+                    "late-reports" => Act::LateReports(w.word(3)?.parse().map_err(|_| "share")?),
                     "hold-direct" => Act::HoldDirect(secs(w.word(3)?)?),
                     "cut" => Act::Cut(count()?),
                     "zone-cut" => Act::ZoneCut(w.word(3)?.into(), w.word(4)?.into()),
--- a/tests/sim/store.rs
+++ b/tests/sim/store.rs
@@ -231,6 +231,7 @@
         for change in &txn.changes {
             if let Change::Put { key, value, .. } = change {
                 self.check_starts(key, value, &done);
+                self.check_kept(key, value, txn);
             }
         }
         for change in &txn.changes {
@@ -253,6 +254,43 @@
         StoreAnswer::Committed { revision: version }
     }
 
+    /// What is kept for ever stays: a final phase; an acceptance whose job is open; pages of
+    /// the book follow each other, and the present leader writes them.
+    fn check_kept(&mut self, key: &str, value: &Value, txn: &Txn) {
+        use glenhaven::bookkeeping::{keys, records};
+        let before = self.keys.get(key).map(|e| &e.value);
+        if keys::parse_page(key).is_some() {
+            let page = records::from_value::<records::Page>(value).unwrap_or_default();
+            let old = before.and_then(records::from_value::<records::Page>);
+            if old.is_some_and(|old| old.seq >= page.seq) {
+                self.problems
+                    .push(format!("{key} of the book was written over by an older one"));
+            }
+            if page.term != self.term() {
+                self.problems
+                    .push(format!("{key} of the book was written in term {}", page.term));
+            }
+        } else if keys::parse_accepted(key).is_some() {
+            let jobs = |v: &Value| records::from_value::<records::Accepted>(v).unwrap_or_default().jobs;
+            let stay: BTreeSet<String> = jobs(value).into_iter().map(|spec| spec.id).collect();
+            for spec in before.map(jobs).unwrap_or_default() {
+                let own = keys::job(&spec.id);
+                let ends = txn.changes.iter().any(|c| c.key() == own);
+                if !stay.contains(&spec.id) && !ends && !self.keys.contains_key(&own) {
+                    self.problems
+                        .push(format!("the acceptance of {} was written over", spec.id));
+                }
+            }
+        } else if key.starts_with(keys::JOBS) {
+            let phase = |v: &Value| records::from_value::<records::JobValue>(v).map(|v| v.phase);
+            let old = before.and_then(phase).filter(|p| p.is_final());
+            if old.is_some() && old != phase(value) {
+                self.problems
+                    .push(format!("{key} was {old:?} and is {:?} now", phase(value)));
+            }
+        }
+    }
+
     /// A start must not be recorded for a job that is over.
     /// Nor for one of which a job that it needs is not recorded as done.
     fn check_starts(&mut self, key: &str, value: &Value, ends: &[String]) {
@@ -371,6 +409,11 @@
 }
 
 impl World {
+    fn is_late_write(&mut self) -> bool {
+        let share = self.broken.late_writes.values().copied().fold(0.0, f64::max);
+        share > 0.0 && self.rng.f64() < share
+    }
+
     fn deaf(&self, n: usize) -> bool {
         self.broken.state_deaf.values().any(|d| *d == n)
     }
@@ -380,7 +423,11 @@
         self.store.expire(now);
         let hop = self.hop();
         let mut lost = false;
-        let answer = if self.store.out || self.deaf(n) {
+        // What comes late was taken in long ago: it is executed whatever happens meanwhile.
+        let late = life == u64::MAX && matches!(request, StoreRequest::Txn(_));
+        let answer = if late && !self.store.out {
+            self.store.answer(&request, now)
+        } else if self.store.out || self.deaf(n) {
             StoreAnswer::Refused
         } else {
             let writes = match &request {
@@ -405,6 +452,11 @@
                 self.after(wait_ms * MS, Ev::WatchEnds(watch));
                 self.tell_watches();
                 return;
+            } else if matches!(&request, StoreRequest::Txn(txn) if !txn.changes.is_empty()) && self.is_late_write() {
+                // Its sender hears nothing, and newer ones are executed before it.
+                let late = 2 * SEC + self.rng.u64(0..10 * SEC);
+                self.after(late, Ev::Store(n, u64::MAX, id, request));
+                return;
             } else if let (StoreRequest::Txn(txn), Some(late)) =
                 (&request, self.broken.lose_txn.values().copied().next())
             {
--- a/tests/sim/users.rs
+++ b/tests/sim/users.rs
@@ -26,6 +26,7 @@
     pub first_asked: Option<u64>,
     pub accepted: Option<u64>,
     pub refused: Option<u16>,
+    /// When the answer left that first told its user that it is cancelled, and arrived.
     pub cancelled: Option<u64>,
     pub done: Option<u64>,
     pub first_running: Option<u64>,
@@ -135,7 +136,7 @@
         }
     }
 
-    pub fn user_answered(&mut self, job: &str, rid: u64, answer: Outgoing) {
+    pub fn user_answered(&mut self, job: &str, rid: u64, left: u64, answer: Outgoing) {
         let now = self.now;
         let calm = self.script.calm_from();
         let Some(user) = self.users.get_mut(job) else { return };
@@ -167,7 +168,7 @@
                         user.done.get_or_insert(now);
                     }
                     Phase::Cancelled => {
-                        user.cancelled.get_or_insert(now);
+                        user.cancelled.get_or_insert(left);
                     }
                     Phase::Running => {
                         user.first_running.get_or_insert(now);
--- a/tests/sim/workers.rs
+++ b/tests/sim/workers.rs
@@ -99,6 +99,10 @@
         }
     }
 
+    pub fn session(&self) -> u64 {
+        self.session
+    }
+
     fn changed(&mut self, now: u64) {
         self.next_report = self.next_report.min((self.last_sent + SEC / 2).max(now));
     }
@@ -151,7 +155,7 @@
     /// Looks at everything a worker does by itself.
     pub fn worker_wakes(&mut self, name: &str) {
         let now = self.now;
-        let lease = (self.script.base.params.workers.lease_s * SEC as f64) as u64;
+        let (lease, nodes) = (self.script.lease(), self.nodes.len());
         let Some(w) = self.workers.get_mut(name) else { return };
         if !w.up || now < w.hangs_until {
             return;
@@ -234,6 +238,12 @@
                 w.next_report = now + pause;
             }
             let hop = self.hop();
+            let share = self.broken.late_reports.values().copied().fold(0.0, f64::max);
+            if share > 0.0 && self.rng.f64() < share {
+                let late = 2 * SEC + self.rng.u64(0..2 * lease);
+                let to = self.rng.usize(0..nodes);
+                self.after(late, Ev::Report(name.into(), to, u64::MAX, report.clone()));
+            }
             if let Some(late) = self.broken.copies.values().copied().max() {
                 // Nobody waits for the answer to a copy.
                 let ev = Ev::Report(name.into(), node, u64::MAX, report.clone());
@@ -269,7 +279,12 @@
         let Some((flying, sent, session)) = w.flying else {
             return;
         };
-        if flying != rid || !w.up || now < w.hangs_until {
+        if flying == rid && w.up && now < w.hangs_until {
+            // It lies there until the machine goes on, if its time is not over by then.
+            let pause = w.hangs_until - now + 1;
+            return self.after(pause, Ev::ReportAnswer(name.into(), rid, answer));
+        }
+        if flying != rid || !w.up {
             return;
         }
         w.flying = None;
