Refusals of an outage are no longer paid for afterwards; rates of two controllers

Cause: every refused request took a change from the node's bucket, below zero without bound. Ruled out: the sharing of changes, the watch, pages. Change: a refusal takes no more than there is. With two controllers the least rate of requests was above the most, and clamping it ended the process (found by a unit test of renewals): scenario two-controllers.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -366,8 +366,11 @@
         let (rps, writes) = if self.leader.is_some() {
             ((all_rps * 0.4, all_rps * 0.6), (all_writes * 0.45, all_writes * 0.45))
         } else {
+            // Of two controllers the one that doesn't lead has an even part that is more than
+            // what many may grow to.
+            let even = all_rps * 0.55 / others;
             (
-                (all_rps * 0.55 / others, all_rps * 0.3),
+                (even, even.max(all_rps * 0.3)),
                 (all_writes * 0.35 / others, all_writes * 0.5 / others),
             )
         };
--- a/src/coordination/renewal.rs
+++ b/src/coordination/renewal.rs
@@ -135,7 +135,7 @@
     /// never seen, sent under the present term, may reach its machine at any time, also one
     /// that only another controller hears: with a higher term, answers of whoever answers
     /// the machine raise its fence.
-    pub(super) fn look_for_unsettled(&mut self, now: Micros) {
+    pub fn look_for_unsettled(&mut self, now: Micros) {
         self.unsettled.clear();
         let mut flies = false;
         for job in self.jobs.values().filter(|j| j.cancelled.is_some()) {
@@ -152,7 +152,7 @@
     /// Whether an answer to this report would let a start that may still be on its way run
     /// too long after its job was cancelled: its fence would not refuse that start, and the
     /// lease would outlast the time in which the task must be gone.
-    pub(super) fn must_lapse(&self, site: &Site, report: &Report, now: Micros) -> bool {
+    pub fn must_lapse(&self, site: &Site, report: &Report, now: Micros) -> bool {
         let name: MachineId = report.machine.as_str().into();
         if !self.unsettled.contains(&name) {
             return false;
--- a/src/coordination/store_queue.rs
+++ b/src/coordination/store_queue.rs
@@ -254,8 +254,8 @@
             self.watches -= 1;
         }
         if refused {
-            self.writes.take(1.0, now);
-            self.requests.take(1.0, now);
+            self.writes.spill(1.0, now);
+            self.requests.spill(1.0, now);
             self.raised = now;
             self.rates.0 = (self.rates.0 * 0.6).max(self.least.0);
             self.rates.1 = (self.rates.1 * 0.6).max(self.least.1);
--- a/src/transport/pace.rs
+++ b/src/transport/pace.rs
@@ -50,9 +50,10 @@
         self.level -= cost;
     }
 
-    /// The service refused: what we believed to be left is not.
-    pub fn drain(&mut self, now: Micros) {
+    /// The same, but never below zero: what is lost is made up for within a moment. The
+    /// refusals of a minute's outage would be paid for over minutes otherwise.
+    pub fn spill(&mut self, cost: f64, now: Micros) {
         self.fill(now);
-        self.level = self.level.min(0.0);
+        self.level = (self.level - cost).max(self.level.min(0.0));
     }
 }
--- a/tests/sim/lives.rs
+++ b/tests/sim/lives.rs
@@ -3,18 +3,19 @@
 
 use super::script::Script;
 use glenhaven::bookkeeping::records::{to_value, Term};
-use glenhaven::coordination::{Command, Core, Effect};
+use glenhaven::coordination::book::{Job, Leader, Placement, Stage, TaskState};
+use glenhaven::coordination::{Command, Core, Effect, Site};
 use glenhaven::protocol::peer::{Link, PeerMessage};
 use glenhaven::protocol::store::{Row, Rows, StoreAnswer, StoreRequest};
 use glenhaven::protocol::workers::{Orders, Report};
 use glenhaven::time::Micros;
 
-fn at(ms: u64) -> Micros {
+pub fn at(ms: u64) -> Micros {
     Micros::from_millis(86_400_000 + ms)
 }
 
 /// A life of a node that knows node-1 to lead and reaches it.
-fn life(seed: u64) -> Core {
+pub fn life(seed: u64) -> Core {
     let settings = Script::parse("nodes a a").unwrap().settings().remove(0);
     let mut core = Core::new(settings, seed, at(0));
     let effects = core.handle(at(0), vec![]);
@@ -111,22 +112,52 @@
     }
 }
 
+/// What every part of a controller looks at.
+pub fn site() -> Site {
+    let settings = Script::parse("nodes a a").unwrap().settings().remove(0);
+    Site {
+        limits: settings.params.state.limits(),
+        settings,
+        catalogue: Default::default(),
+        lagging: None,
+    }
+}
+
+/// Has a leader that knows n-000001 in its first session take `run-000001/0` for started there.
+pub fn place(leader: &mut Leader, since: Micros) {
+    let mut job = Job::new("run-000001", super::script::plain_spec("run-000001"), 5, 0, since);
+    job.waiting.clear();
+    job.states[0] = TaskState::Placed;
+    job.held = 1;
+    let placement = Placement {
+        attempt: 1,
+        machine: "n-000001".into(),
+        session: 1,
+        fence: 1,
+        stage: Stage::Sent,
+        sent: true,
+        stop: None,
+        stop_at: since,
+        helper: false,
+        since,
+        running_since: None,
+        restored: false,
+    };
+    job.placed.insert(0, placement);
+    let machine = leader.machines.get_mut("n-000001").expect("it reported");
+    machine.tasks.insert((job.id.clone(), 0));
+    machine.take(&job.spec, 1.0);
+    leader.jobs.insert(job.id.clone(), job);
+}
+
 /// A start goes straight to the worker and, by a report that left before, in the answer to
 /// it. While that answer may be on its way, the attempt is not forgotten: forgotten, it
 /// would run again when the answer comes, beside its next attempt.
 #[test]
 fn a_start_in_an_answer_keeps_its_attempt_known() {
-    use glenhaven::coordination::book::{Job, Leader, Placement, Stage, TaskState};
-    use glenhaven::coordination::Site;
     use glenhaven::protocol::workers::{Cause, Order, TaskPhase, TaskReport};
 
-    let settings = Script::parse("nodes a a").unwrap().settings().remove(0);
-    let site = Site {
-        limits: settings.params.state.limits(),
-        settings,
-        catalogue: Default::default(),
-        lagging: None,
-    };
+    let site = site();
     let report = |serial: u64, phase: Option<(TaskPhase, Option<Cause>)>| Report {
         machine: "n-000001".into(),
         addr: "10.1.0.1:9000".into(),
@@ -151,29 +182,7 @@
     assert!(leader
         .on_report(&site, &report(1, None), None, at(10), at(10))
         .is_empty());
-    let mut job = Job::new("run-000001", super::script::plain_spec("run-000001"), 5, 0, at(10));
-    job.waiting.clear();
-    job.states[0] = TaskState::Placed;
-    job.held = 1;
-    let placement = Placement {
-        attempt: 1,
-        machine: "n-000001".into(),
-        session: 1,
-        fence: 1,
-        stage: Stage::Sent,
-        sent: true,
-        stop: None,
-        stop_at: at(20),
-        helper: false,
-        since: at(20),
-        running_since: None,
-        restored: false,
-    };
-    job.placed.insert(0, placement);
-    let machine = leader.machines.get_mut("n-000001").expect("it reported");
-    machine.tasks.insert((job.id.clone(), 0));
-    machine.take(&job.spec, 1.0);
-    leader.jobs.insert(job.id.clone(), job);
+    place(&mut leader, at(20));
     let starts = |orders: &[Order]| orders.iter().filter(|o| matches!(o, Order::Start { .. })).count();
     let forgets = |orders: &[Order]| orders.iter().filter(|o| matches!(o, Order::Forget { .. })).count();
     // This report left before the command that starts the task arrived.
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -8,6 +8,7 @@
 mod matrix;
 mod meetings;
 pub mod planted;
+mod renewals;
 pub mod rules;
 pub mod script;
 pub mod shares;
