--- a/tests/sim/meetings.rs
+++ b/tests/sim/meetings.rs
@@ -47,6 +47,10 @@
     "crash-on term for {q}\ncrash-on job/ for {q}\ncrash-on open/ for {q}",
     "state-limits",
 ];
+/// What is written, by the beginnings of keys: acceptances, ends of jobs, the book and rentals,
+/// terms, releases and limits, machines kept for a leader that can't hear them.
+const WRITES: [&str; 6] = ["job/@", "job/run", "open/", "term", "term-", "care/"];
+
 /// The first trouble begins here, the others within so much of it.
 const BEGINS: u64 = 60;
 const UNTIL: u64 = 290;
@@ -54,6 +58,16 @@
 /// The world of this seed, as a scenario.
 pub fn text(seed: u64) -> String {
     let mut rng = fastrand::Rng::with_seed(seed);
+    let mut t = world(seed, &mut rng);
+    let count = if rng.u32(0..4) == 0 { 3 } else { 2 };
+    for line in troubles(&mut rng, count) {
+        writeln!(t, "at {line}").unwrap();
+    }
+    t
+}
+
+/// The same without its troubles.
+fn world(seed: u64, rng: &mut fastrand::Rng) -> String {
     let mut t = format!("# Meeting {seed}.\nseed {seed}\nuntil {UNTIL}\nnodes a b a b a\n");
     t.push_str("state-next writes=50 value_kb=8 ops=16\nteam blue\nteam red cpus=4 max=6\n");
     if rng.bool() {
@@ -115,9 +129,14 @@
         let abort = (24 + n * 6) as f64 + 2.5 + rng.f64() * 2.5;
         writeln!(t, "at {abort:.2} abort run-0005{n:02}").unwrap();
     }
-    let count = if rng.u32(0..4) == 0 { 3 } else { 2 };
-    let mut at = BEGINS as f64 + rng.f64() * 10.0;
+    t
+}
+
+/// Lines of so many troubles.
+fn troubles(rng: &mut fastrand::Rng, count: usize) -> Vec<String> {
+    let mut lines = vec![];
     let mut out = false;
+    let mut at = BEGINS as f64 + rng.f64() * 10.0;
     for _ in 0..count {
         let mut kind = KINDS[rng.usize(0..KINDS.len())];
         // Two long outages would be one in which nobody is answered for as long as a job
@@ -138,14 +157,52 @@
         for line in filled.lines() {
             match line.split_once(" later=") {
                 Some((line, later)) => {
-                    writeln!(t, "at {:.2} {line}", at + later.parse::<f64>().unwrap()).unwrap();
+                    lines.push(format!("{:.2} {line}", at + later.parse::<f64>().unwrap()));
                 }
-                None => writeln!(t, "at {at:.2} {line}").unwrap(),
+                None => lines.push(format!("{at:.2} {line}")),
             }
         }
         at += rng.f64() * 20.0;
     }
-    t
+    lines
+}
+
+/// Transactions of each kind come late, alone and beside ends of controllers that are back at
+/// once, so that an earlier life's writes meet those of the next.
+fn late_writes() -> Vec<String> {
+    let ends = [
+        "",
+        "crash all for 0.2",
+        "crash leader for 0.2 every=4 times=5",
+        "crash all for 0.2 every=6 times=3",
+    ];
+    let mut texts = vec![];
+    for (i, key) in WRITES.iter().enumerate() {
+        for (j, end) in ends.iter().enumerate() {
+            let seed = (i * ends.len() + j) as u64;
+            let mut t = world(seed, &mut fastrand::Rng::with_seed(seed));
+            writeln!(t, "at {BEGINS} late-writes 0.5 key={key} for 40").unwrap();
+            if !end.is_empty() {
+                writeln!(t, "at {} {end}", BEGINS + 6).unwrap();
+            }
+            if *key == "care/" {
+                writeln!(t, "at {BEGINS} zone-cut a b for 30").unwrap();
+            }
+            texts.push(t);
+        }
+    }
+    texts
+}
+
+#[test]
+fn every_kind_of_write_comes_late() {
+    let told: Vec<String> = late_writes()
+        .iter()
+        .map(|text| (play(text, None), text))
+        .filter(|(wrong, _)| !wrong.is_empty())
+        .map(|(wrong, text)| format!("{}\n{text}", wrong.join("; ")))
+        .collect();
+    assert!(told.is_empty(), "\n{}", told.join("\n"));
 }
 
 /// What is wrong with the play of this text.
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -85,7 +85,7 @@
     pub lose_txn: BTreeMap<usize, u64>,
     pub hold_direct: BTreeMap<usize, u64>,
     /// Shares of transactions that are executed late, and of reports that arrive again.
-    pub late_writes: BTreeMap<usize, f64>,
+    pub late_writes: BTreeMap<usize, (f64, String)>,
     pub late_reports: BTreeMap<usize, f64>,
     /// Controllers that stand still, their clocks running on.
     pub frozen: BTreeMap<usize, usize>,
@@ -512,8 +512,8 @@
             Act::LoseTxn(late) => {
                 self.broken.lose_txn.insert(i, late);
             }
-            Act::LateWrites(share) => {
-                self.broken.late_writes.insert(i, share);
+            Act::LateWrites(share, prefix) => {
+                self.broken.late_writes.insert(i, (share, prefix));
             }
             Act::LateReports(share) => {
                 self.broken.late_reports.insert(i, share);
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -25,8 +25,8 @@
     /// Transactions go unanswered; half are executed this much later.
     LoseTxn(u64),
     /// So large a share of transactions gets no answer and is executed 2 to 12 s later,
-    /// after newer ones.
-    LateWrites(f64),
+    /// after newer ones; of those that write a key that begins like this.
+    LateWrites(f64, String),
     /// Of so large a share of reports a copy arrives again, after 2 s to well over a lease.
     LateReports(f64),
     /// Direct orders arrive this much later.
@@ -228,7 +228,7 @@
             // Copies come after the trouble that made them.
             Act::Copies(late) => s.at + s.lasts.unwrap_or(0) + late,
             Act::LateReports(_) => s.at + s.lasts.unwrap_or(0) + 2 * self.lease(),
-            Act::LateWrites(_) | Act::LoseTxn(_) => s.at + s.lasts.unwrap_or(0) + 12 * SEC,
+            Act::LateWrites(..) | Act::LoseTxn(_) => s.at + s.lasts.unwrap_or(0) + 12 * SEC,
             Act::HoldDirect(late) => s.at + s.lasts.unwrap_or(0) + late,
             Act::Crash(_) | Act::CrashOn(_) => s.at + s.lasts.unwrap_or(3 * SEC),
             _ => s.at + s.lasts.unwrap_or(0),
@@ -366,7 +366,10 @@
                     "state-deaf" => Act::StateDeaf(w.word(3)?.parse().unwrap_or(usize::MAX)),
                     "cloud-out" => Act::CloudOut,
                     "lose-txn" => Act::LoseTxn(secs(w.word(3)?)?),
-                    "late-writes" => Act::LateWrites(w.word(3)?.parse().map_err(|_| "share")?),
+                    "late-writes" => {
+                        let prefix = w.named.get("key").unwrap_or(&"");
+                        Act::LateWrites(w.word(3)?.parse().map_err(|_| "share")?, prefix.to_string())
+                    }
                     "late-reports" => Act::LateReports(w.word(3)?.parse().map_err(|_| "share")?),
                     "hold-direct" => Act::HoldDirect(secs(w.word(3)?)?),
                     "cut" => Act::Cut(count()?),
--- a/tests/sim/store.rs
+++ b/tests/sim/store.rs
@@ -409,8 +409,11 @@
 }
 
 impl World {
-    fn is_late_write(&mut self) -> bool {
-        let share = self.broken.late_writes.values().copied().fold(0.0, f64::max);
+    fn is_late_write(&mut self, request: &StoreRequest) -> bool {
+        let StoreRequest::Txn(txn) = request else { return false };
+        let writes = |prefix: &String| txn.changes.iter().any(|c| c.key().starts_with(prefix.as_str()));
+        let shares = self.broken.late_writes.values().filter(|(_, prefix)| writes(prefix));
+        let share = shares.map(|(share, _)| *share).fold(0.0, f64::max);
         share > 0.0 && self.rng.f64() < share
     }
 
@@ -452,7 +455,7 @@
                 self.after(wait_ms * MS, Ev::WatchEnds(watch));
                 self.tell_watches();
                 return;
-            } else if matches!(&request, StoreRequest::Txn(txn) if !txn.changes.is_empty()) && self.is_late_write() {
+            } else if self.is_late_write(&request) {
                 // Its sender hears nothing, and newer ones are executed before it.
                 let late = 2 * SEC + self.rng.u64(0..10 * SEC);
                 self.after(late, Ev::Store(n, u64::MAX, id, request));
