Only the leader's answers rest on the others' word, and only in the latest term

A start under the old fence may be on its way for a job that was cancelled, while another controller has raised the term: whoever renews leases by the others' word alone would keep the old fence alive (by argument, going through every path). So each says the term that it knows, and a node that answers without the leader relies on what it read.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -595,7 +595,12 @@
             PeerMessage::Report { node, id, report } => self.on_passed(node, id, report),
             PeerMessage::Answered { id, orders } => self.care.answered(&mut self.sh, &self.desk, id, orders),
             PeerMessage::Inquire { node, round, seen } => self.on_inquire(node, round, seen),
-            PeerMessage::Vouched { node, round, cancelled } => self.on_vouched(&node, round, cancelled),
+            PeerMessage::Vouched {
+                node,
+                round,
+                term,
+                cancelled,
+            } => self.on_vouched(&node, round, term, cancelled),
             PeerMessage::Recall { node } => self.recall(node),
             PeerMessage::Recalled { node, reports } => self.on_recalled(&node, reports),
             PeerMessage::Relay { node, id, addr, body } => self.relay(node, id, addr, body),
--- a/src/coordination/renewal.rs
+++ b/src/coordination/renewal.rs
@@ -11,14 +11,16 @@
 //! answer renews nothing that lasts beyond C + `cancel_s`. `docs/design/renewals.md` goes
 //! through every path.
 //!
-//! K is when the state service was asked. While it answers nobody, K can move on by the
-//! word of all other controllers, each of which says for this very question what it has
-//! confirmed: who confirms cancellations is one of them. One that is missing, or that began
-//! after what this node knows, may have confirmed anything: then K stands still.
+//! K is when the state service was asked. While it answers nobody, the leader's K can move on by
+//! the word of all other controllers, each of which says for this very question what it has
+//! confirmed and that it knows no later term: who confirms cancellations is one of them. One
+//! that is missing, or that began after what this node knows, may have confirmed anything:
+//! then K stands still. A node that answers without the leader has no such K: it doesn't know
+//! which starts the leader has on their way, and relies on the leader to raise the term.
 
 use super::book::{Leader, MachineId, Stage};
 use super::desk::Desk;
-use super::leadership::Leadership;
+use super::leadership::{Leadership, Role};
 use super::{Core, Effect, Site};
 use crate::bookkeeping::records::{JobValue, VOUCHES};
 use crate::protocol::peer::PeerMessage;
@@ -61,7 +63,10 @@
 
     /// The instant K: every cancellation that was confirmed before it is known here.
     pub fn proven(&self, lead: &Leadership) -> Micros {
-        lead.fresh().max(self.proven)
+        match lead.role() {
+            Role::Leader => lead.fresh().max(self.proven),
+            Role::Follower => lead.fresh(),
+        }
     }
 
     /// Whether a lease that is renewed now ends by K + `cancel_s`.
@@ -88,16 +93,17 @@
         Some(Orders { fence, orders })
     }
 
-    /// Begins to ask the others; the number of the question.
-    fn ask(&mut self, round: u64, peers: impl Iterator<Item = String>, now: Micros) {
+    /// Begins to ask the others.
+    pub fn ask(&mut self, round: u64, peers: impl Iterator<Item = String>, now: Micros) {
         self.round = round;
         self.sent = now;
         self.missing = peers.collect();
     }
 
-    /// One has answered; whether K has moved on.
-    fn answered(&mut self, node: &str, round: u64) -> bool {
-        if round != self.round || !self.missing.remove(node) || !self.missing.is_empty() {
+    /// One has answered, and knows this term; whether K has moved on. One that knows a later
+    /// term than this node proves the opposite.
+    pub fn answered(&mut self, lead: &Leadership, node: &str, round: u64, term: u64) -> bool {
+        if round != self.round || term > lead.term() || !self.missing.remove(node) || !self.missing.is_empty() {
             return false;
         }
         self.proven = self.proven.max(self.sent);
@@ -179,10 +185,15 @@
 }
 
 impl Core {
-    /// While the state service does not answer, the others are asked what they confirmed.
+    /// While the state service does not answer the leader, it asks the others what they
+    /// confirmed.
     pub(super) fn tick_vouchers(&mut self) {
         let now = self.sh.now;
-        if now < self.vouchers.next || !self.lead.is_known() || now.since(self.lead.fresh()) < ASK_AFTER {
+        if self.lead.role() != Role::Leader
+            || now < self.vouchers.next
+            || !self.lead.is_known()
+            || now.since(self.lead.fresh()) < ASK_AFTER
+        {
             return;
         }
         self.vouchers.next = now + ASK_EVERY;
@@ -219,13 +230,14 @@
         let message = PeerMessage::Vouched {
             node: self.site.settings.node.clone(),
             round,
+            term: self.lead.term(),
             cancelled,
         };
         self.sh.out.push(Effect::Peer { to: node, message });
     }
 
     /// What another controller knows to be cancelled: made by the state service, as it read.
-    pub(super) fn on_vouched(&mut self, node: &str, round: u64, cancelled: Vec<(String, u64)>) {
+    pub(super) fn on_vouched(&mut self, node: &str, round: u64, term: u64, cancelled: Vec<(String, u64)>) {
         let now = self.sh.now;
         for (job, version) in cancelled {
             if self.desk.phase(&job).is_some_and(Phase::is_final) {
@@ -240,7 +252,7 @@
                 leader.on_job_event(&job, version, version, value, now);
             }
         }
-        if self.vouchers.answered(node, round) {
+        if self.vouchers.answered(&self.lead, node, round, term) {
             self.prove_to_leader();
         }
     }
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -85,10 +85,12 @@
     /// those up to this revision, which the sender has seen? Sent only to controllers that
     /// said that they run this release.
     Inquire { node: String, round: u64, seen: u64 },
-    /// All of them, with the versions of their jobs' keys, as of now.
+    /// All of them, with the versions of their jobs' keys, and the term that the sender
+    /// knows, as of now.
     Vouched {
         node: String,
         round: u64,
+        term: u64,
         cancelled: Vec<(String, u64)>,
     },
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -51,6 +51,7 @@
             }),
             Expect::Rented(most) => world.cloud.rented() <= *most,
             Expect::LeaseKills(most) => world.rules.lease_kills <= *most,
+            Expect::LeaseKillsAtLeast(least) => world.rules.lease_kills >= *least,
             Expect::Stops(most) => world.rules.stops <= *most,
             Expect::Failures(most) => world.rules.failures <= *most,
             Expect::TermsAtMost(most) => world.last_term() <= *most,
--- a/tests/sim/meetings.rs
+++ b/tests/sim/meetings.rs
@@ -58,16 +58,17 @@
 /// The world of this seed, as a scenario.
 pub fn text(seed: u64) -> String {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let mut t = world(seed, &mut rng);
+    let first = BEGINS as f64 + rng.f64() * 10.0;
+    let mut t = world(seed, first, &mut rng);
     let count = if rng.u32(0..4) == 0 { 3 } else { 2 };
-    for line in troubles(&mut rng, count) {
+    for line in troubles(first, &mut rng, count) {
         writeln!(t, "at {line}").unwrap();
     }
     t
 }
 
-/// The same without its troubles.
-fn world(seed: u64, rng: &mut fastrand::Rng) -> String {
+/// The same without its troubles, the first of which begins at this second.
+fn world(seed: u64, first: f64, rng: &mut fastrand::Rng) -> String {
     let mut t = format!("# Meeting {seed}.\nseed {seed}\nuntil {UNTIL}\nnodes a b a b a\n");
     t.push_str("state-next writes=50 value_kb=8 ops=16\nteam blue\nteam red cpus=4 max=6\n");
     if rng.bool() {
@@ -97,6 +98,13 @@
         };
         writeln!(t, "at {abort:.2} abort run-0001{n:02}").unwrap();
     }
+    // Many that are cancelled in the moments in which the first trouble becomes two: what one
+    // controller has confirmed is known to no other for some tenths of a second.
+    t.push_str("at 25 submit run-000600 copies=16 run=400 spot\n");
+    for n in 0..16 {
+        let abort = first + 0.5 + rng.f64() * 1.2;
+        writeln!(t, "at {abort:.2} abort run-0006{n:02}").unwrap();
+    }
     // Services that are cancelled a moment after they were submitted.
     for n in 0..6 {
         let at = (BEGINS as f64) - 4.0 + rng.f64() * 30.0;
@@ -133,10 +141,10 @@
 }
 
 /// Lines of so many troubles.
-fn troubles(rng: &mut fastrand::Rng, count: usize) -> Vec<String> {
+fn troubles(first: f64, rng: &mut fastrand::Rng, count: usize) -> Vec<String> {
     let mut lines = vec![];
     let mut out = false;
-    let mut at = BEGINS as f64 + rng.f64() * 10.0;
+    let mut at = first;
     for _ in 0..count {
         let mut kind = KINDS[rng.usize(0..KINDS.len())];
         // Two long outages would be one in which nobody is answered for as long as a job
@@ -180,7 +188,7 @@
     for (i, key) in WRITES.iter().enumerate() {
         for (j, end) in ends.iter().enumerate() {
             let seed = (i * ends.len() + j) as u64;
-            let mut t = world(seed, &mut fastrand::Rng::with_seed(seed));
+            let mut t = world(seed, BEGINS as f64, &mut fastrand::Rng::with_seed(seed));
             writeln!(t, "at {BEGINS} late-writes 0.5 key={key} for 40").unwrap();
             if !end.is_empty() {
                 writeln!(t, "at {} {end}", BEGINS + 6).unwrap();
--- a/tests/sim/planted.rs
+++ b/tests/sim/planted.rs
@@ -102,16 +102,24 @@
                 }
                 Effect::Peer {
                     to,
-                    message: PeerMessage::Vouched { round, cancelled, .. },
+                    message:
+                        PeerMessage::Vouched {
+                            round, term, cancelled, ..
+                        },
                 } if fault == Fault::OneVouchesForAll => {
                     // Its word is repeated in the name of every other.
                     for other in 0..self.nodes.len() {
                         let node = self.nodes[other].settings.node.clone();
                         if other != n && node != *to {
-                            let (round, cancelled) = (*round, cancelled.clone());
+                            let (round, term, cancelled) = (*round, *term, cancelled.clone());
                             out.push(Effect::Peer {
                                 to: to.clone(),
-                                message: PeerMessage::Vouched { node, round, cancelled },
+                                message: PeerMessage::Vouched {
+                                    node,
+                                    round,
+                                    term,
+                                    cancelled,
+                                },
                             });
                         }
                     }
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -94,6 +94,7 @@
     AcceptedWithin(u64),
     Rented(usize),
     LeaseKills(usize),
+    LeaseKillsAtLeast(usize),
     /// Running tasks stopped without their job being cancelled.
     Stops(usize),
     Terms(u64),
@@ -449,6 +450,7 @@
                     "accepted-within" => Expect::AcceptedWithin(number(2)?),
                     "rented-at-most" => Expect::Rented(number(2)? as usize),
                     "lease-kills-at-most" => Expect::LeaseKills(number(2)? as usize),
+                    "lease-kills-at-least" => Expect::LeaseKillsAtLeast(number(2)? as usize),
                     "stops-at-most" => Expect::Stops(number(2)? as usize),
                     "failures-at-most" => Expect::Failures(number(2)? as usize),
                     "terms-at-most" => Expect::TermsAtMost(number(2)?),
