--- a/tests/sim/lives.rs
+++ b/tests/sim/lives.rs
@@ -7,7 +7,7 @@
 use glenhaven::coordination::{Command, Core, Effect, Site};
 use glenhaven::protocol::peer::{Link, PeerMessage};
 use glenhaven::protocol::store::{Row, Rows, StoreAnswer, StoreRequest};
-use glenhaven::protocol::workers::{Orders, Report};
+use glenhaven::protocol::workers::{Orders, Report, TaskReport};
 use glenhaven::time::Micros;
 
 pub fn at(ms: u64) -> Micros {
@@ -123,6 +123,22 @@
     }
 }
 
+/// What n-000001 reports in its first session.
+pub fn report(serial: u64, tasks: Vec<TaskReport>) -> Report {
+    Report {
+        machine: "n-000001".into(),
+        addr: "10.1.0.1:9000".into(),
+        machine_type: "m".into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        serial,
+        fence: 1,
+        notice_s: None,
+        tasks,
+    }
+}
+
 /// Has a leader that knows n-000001 in its first session take `run-000001/0` for started there.
 pub fn place(leader: &mut Leader, since: Micros) {
     let mut job = Job::new("run-000001", super::script::plain_spec("run-000001"), 5, 0, since);
@@ -155,28 +171,17 @@
 /// would run again when the answer comes, beside its next attempt.
 #[test]
 fn a_start_in_an_answer_keeps_its_attempt_known() {
-    use glenhaven::protocol::workers::{Cause, Order, TaskPhase, TaskReport};
+    use glenhaven::protocol::workers::{Cause, Order, TaskPhase};
 
     let site = site();
-    let report = |serial: u64, phase: Option<(TaskPhase, Option<Cause>)>| Report {
-        machine: "n-000001".into(),
-        addr: "10.1.0.1:9000".into(),
-        machine_type: "m".into(),
-        zone: "a".into(),
-        spot: false,
-        session: 1,
-        serial,
-        fence: 1,
-        notice_s: None,
-        tasks: phase
-            .map(|(phase, cause)| TaskReport {
-                task: "run-000001/0".into(),
-                attempt: 1,
-                phase,
-                cause,
-            })
-            .into_iter()
-            .collect(),
+    let report = |serial: u64, phase: Option<(TaskPhase, Option<Cause>)>| {
+        let task = |(phase, cause)| TaskReport {
+            task: "run-000001/0".into(),
+            attempt: 1,
+            phase,
+            cause,
+        };
+        report(serial, phase.map(task).into_iter().collect())
     };
     let mut leader = Leader::new(1, 1, at(0));
     assert!(leader
--- a/tests/sim/renewals.rs
+++ b/tests/sim/renewals.rs
@@ -17,18 +17,7 @@
         phase: TaskPhase::Running,
         cause: None,
     };
-    Report {
-        machine: "n-000001".into(),
-        addr: "10.1.0.1:9000".into(),
-        machine_type: "m".into(),
-        zone: "a".into(),
-        spot: false,
-        session: 1,
-        serial,
-        fence: 1,
-        notice_s: None,
-        tasks: tasks.iter().map(running).collect(),
-    }
+    super::lives::report(serial, tasks.iter().map(running).collect())
 }
 
 /// A leader's word for a question counts from all others, for this very question, and as long
