--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -605,6 +605,10 @@
             Act::Boots(factor) => {
                 self.broken.boots.insert(i, factor);
             }
+            Act::OldRelease(node) => {
+                self.store.old_release(&node);
+                self.tell_watches();
+            }
             Act::Garbage(key) => {
                 self.store.garbage(key);
                 self.tell_watches();
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -63,6 +63,8 @@
     Boots(f64),
     /// Users ask so many times as often.
     Storm(u64),
+    /// A controller is said to run the release before the present one.
+    OldRelease(String),
     /// A key of the state service holds something that can't be read.
     Garbage(String),
     /// The state service has its lower limits from now on.
@@ -396,6 +398,7 @@
                     "slow-answers" => Act::SlowAnswers(secs(w.word(3)?)?),
                     "copies" => Act::Copies(secs(w.word(3)?)?),
                     "boots" => Act::Boots(w.word(3)?.parse().map_err(|_| "factor")?),
+                    "old-release" => Act::OldRelease(w.word(3)?.into()),
                     "garbage" => Act::Garbage(w.word(3)?.into()),
                     "state-limits" => Act::StateLimits,
                     "storm" => Act::Storm(w.word(3)?.parse().map_err(|_| "factor")?),
--- a/tests/sim/store.rs
+++ b/tests/sim/store.rs
@@ -110,6 +110,25 @@
         });
     }
 
+    /// What a controller of the release before the present one says of itself.
+    pub fn old_release(&mut self, node: &str) {
+        use glenhaven::bookkeeping::{keys, records};
+        let value = records::to_value(&records::Release {
+            release: records::RELEASE - 1,
+            began_ms: 1,
+        });
+        let key = format!("{}{node}", keys::RELEASES);
+        let put = Change::Put {
+            key,
+            value,
+            lease: None,
+        };
+        self.apply(&Txn {
+            conditions: vec![],
+            changes: vec![put],
+        });
+    }
+
     /// Somebody writes what nobody can read.
     pub fn garbage(&mut self, key: String) {
         let value = Value::Array(vec![Value::Text("what is this?".into()), Value::Null]);
