--- /dev/null
+++ b/src/coordination/workers/caretaker.rs
@@ -0,0 +1,212 @@
+//! What a controller that does not lead remembers of workers, and how it answers alone.
+
+use super::parse_task;
+use crate::bookkeeping::keys;
+use crate::bookkeeping::records::{to_value, Care};
+use crate::coordination::desk::Desk;
+use crate::coordination::leadership::{LeadWait, Leadership, Role};
+use crate::coordination::renewal::{self, Vouchers};
+use crate::coordination::store_queue::Urgency;
+use crate::coordination::{times, Shared, Site, Wait};
+use crate::protocol::store::{Change, StoreRequest, Txn};
+use crate::protocol::workers::{Orders, Report, TaskPhase};
+use crate::protocol::{json_size, to_cbor};
+use crate::settings::Workers;
+use crate::time::Micros;
+use std::collections::BTreeMap;
+
+/// A report passed on to the leader.
+pub(super) struct Forwarded {
+    pub(super) reply: u64,
+    pub(super) report: Report,
+    pub(super) at: Micros,
+}
+
+/// What a node that does not lead remembers of workers.
+#[derive(Default)]
+pub struct Caretaker {
+    /// Workers sent to another node: when, and to which.
+    pub(super) sent_away: BTreeMap<String, (Micros, String)>,
+    pub(super) forwarded: BTreeMap<u64, Forwarded>,
+    /// The last report of each worker that reports here, and when it came.
+    pub(super) served: BTreeMap<String, (Micros, Report)>,
+    /// Nodes that workers could not reach, until when they are not named.
+    pub(super) unreached: BTreeMap<String, Micros>,
+    pub(super) unreached_for: Micros,
+    /// Machines kept without the leader, and when each last reported.
+    pub(super) kept: BTreeMap<String, Micros>,
+    /// The last report of each that the state service was told of.
+    pub(super) told: BTreeMap<String, (u64, u64)>,
+    pub(super) next_publish: Micros,
+    /// When the next worker may be sent on.
+    pub(super) next_sent_on: Micros,
+}
+
+/// Kept machines that are named at the most.
+const KEPT: usize = 400;
+/// How often a node says which machines it keeps.
+pub(super) const PUBLISH: Micros = Micros::from_millis(2000);
+
+impl Caretaker {
+    pub fn new(workers: &Workers) -> Caretaker {
+        Caretaker {
+            unreached_for: times::unreached(workers),
+            ..Caretaker::default()
+        }
+    }
+
+    /// The leader's answer to a report that was passed on.
+    /// What this node knows to be cancelled, and the leader may not, is stopped with it.
+    pub fn answered(&mut self, sh: &mut Shared, desk: &Desk, id: u64, mut orders: Orders) {
+        if let Some(f) = self.forwarded.remove(&id) {
+            self.kept.remove(&f.report.machine);
+            renewal::add_stops(desk, &f.report, &mut orders.orders);
+            sh.reply(f.reply, 200, to_cbor(&orders), None);
+        }
+    }
+
+    /// The zones of the workers that report here, and when each last did.
+    pub fn reporting(&self) -> impl Iterator<Item = (&str, Micros)> {
+        self.served.values().map(|(at, report)| (report.zone.as_str(), *at))
+    }
+
+    /// How many workers report here. The leader, which has more to do, counts
+    /// them twice.
+    pub fn serves(&mut self, now: Micros, leads: bool) -> u32 {
+        self.served
+            .retain(|_, (at, _)| now.since(*at) < Micros::from_secs(60.0));
+        let recent = |at: Micros| now.since(at) < Micros::from_secs(15.0);
+        let n = self.served.values().filter(|(at, _)| recent(*at)).count() as u32;
+        if leads {
+            n * 2
+        } else {
+            n
+        }
+    }
+
+    /// The worker was sent to another node lately and came back: it could not
+    /// reach that one.
+    pub(super) fn came_back(&mut self, machine: &str, now: Micros) -> bool {
+        let Some((at, to)) = self.sent_away.get(machine) else {
+            return false;
+        };
+        let back = now.since(*at) < times::COMES_BACK;
+        if back {
+            self.unreached.insert(to.clone(), now + self.unreached_for);
+        }
+        back
+    }
+
+    /// What this node says of the machines that it keeps: their names, and of as many as
+    /// fit the reports that tell of tasks that ended, those first that were not told.
+    /// The leader, which can't hear these workers, records the outcomes meanwhile.
+    ///
+    /// As many values as it takes: the names alone may exceed one.
+    fn care_values(&mut self, site: &Site) -> Vec<Care> {
+        self.told.retain(|machine, _| self.kept.contains_key(machine));
+        let names: Vec<String> = self.kept.keys().take(KEPT).cloned().collect();
+        let half = site.limits.value_bytes() / 2;
+        let (mut parts, mut size) = (vec![], half);
+        for name in names {
+            let takes = name.len() + 3;
+            if size + takes > half {
+                parts.push(vec![]);
+                size = 0;
+            }
+            size += takes;
+            if let Some(part) = parts.last_mut() {
+                part.push(name);
+            }
+        }
+        parts.truncate(site.limits.changes());
+        parts.into_iter().map(|kept| self.care_value(site, kept)).collect()
+    }
+
+    fn care_value(&mut self, site: &Site, kept: Vec<String>) -> Care {
+        let ended = |r: &&Report| r.tasks.iter().any(|t| t.phase == TaskPhase::Exited);
+        let reports = kept.iter().filter_map(|name| self.served.get(name));
+        let mut reports: Vec<&Report> = reports.map(|(_, r)| r).filter(ended).collect();
+        let number = |r: &Report| (r.session, r.serial);
+        reports.sort_by_key(|r| self.told.get(&r.machine) == Some(&number(r)));
+        let value = site.limits.value_bytes();
+        let room = value.saturating_sub(json_size(&kept) + 300);
+        let reports: Vec<Report> = reports.into_iter().cloned().collect();
+        let (told, taken) = glenhaven_packed::pack(&reports, room);
+        for r in &reports[..taken] {
+            self.told.insert(r.machine.clone(), number(r));
+        }
+        // Even nothing takes a few bytes.
+        let told = if taken == 0 { String::new() } else { told };
+        Care { kept, told }
+    }
+
+    /// Answers reports that the leader has not answered in time.
+    pub fn tick(&mut self, sh: &mut Shared, lead: &Leadership, vouchers: &Vouchers, desk: &Desk, site: &Site) {
+        let now = sh.now;
+        let late: Vec<u64> = self
+            .forwarded
+            .iter()
+            .filter(|(_, f)| now.since(f.at) > times::FORWARD)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in late {
+            if let Some(f) = self.forwarded.remove(&id) {
+                if answer_alone(sh, lead, vouchers, desk, site, f.reply, &f.report) {
+                    self.kept.insert(f.report.machine.clone(), now);
+                }
+            }
+        }
+        // The leader, cut off from these machines, would take them for dead
+        // and release them with everything that runs there.
+        self.kept.retain(|_, at| now.since(*at) < Micros::from_secs(5.0));
+        if !self.kept.is_empty() && now >= self.next_publish && lead.role() != Role::Leader {
+            self.next_publish = now + PUBLISH;
+            let mut changes = vec![];
+            for (n, care) in self.care_values(site).into_iter().enumerate() {
+                let key = match n {
+                    0 => format!("{}{}", keys::CARE, site.settings.node),
+                    n => format!("{}{}.{n}", keys::CARE, site.settings.node),
+                };
+                changes.push(Change::Put {
+                    key,
+                    value: to_value(&care),
+                    lease: None,
+                });
+            }
+            let txn = Txn {
+                conditions: vec![lead.condition()],
+                changes,
+            };
+            let wait = Wait::Lead(LeadWait::Care);
+            sh.store
+                .push(Urgency::Start, StoreRequest::Txn(txn), wait, Micros::from_millis(700));
+        }
+        while self.sent_away.len() > 10_000 {
+            self.sent_away.pop_first();
+        }
+    }
+}
+
+/// Keeps a worker's lease alive without the leader: only while this node knows the state of
+/// every job in the report, so that no cancelled task is kept.
+pub(super) fn answer_alone(
+    sh: &mut Shared,
+    lead: &Leadership,
+    vouchers: &Vouchers,
+    desk: &Desk,
+    site: &Site,
+    reply: u64,
+    report: &Report,
+) -> bool {
+    let mut runs = report.tasks.iter().filter(|t| t.phase != TaskPhase::Exited);
+    let all_known = runs.all(|t| parse_task(&t.task).is_some_and(|(job, _)| desk.phase(job).is_some()));
+    let orders = all_known.then(|| vouchers.renewal(lead, desk, site, report, vec![], sh.now));
+    match orders.flatten() {
+        Some(orders) => sh.reply(reply, 200, to_cbor(&orders), None),
+        None => {
+            sh.reply(reply, 503, vec![], Some(1));
+            return false;
+        }
+    }
+    true
+}
