--- a/src/coordination/commit.rs
+++ b/src/coordination/commit/mod.rs
@@ -7,6 +7,8 @@
 //! written again with later ones until nothing is left there; then the keys of
 //! those pages are used anew.
 
+pub mod packing;
+
 use super::book::{Chunk, Job, Leader, Machine, MachineState, Placement, Stage, TaskState};
 use super::leadership::Leadership;
 use super::store_queue::Urgency;
@@ -15,11 +17,11 @@
 use crate::bookkeeping::records::{
     self, from_value, ranges, to_value, Accepted, Care, ClaimValue, Entry, JobValue, Page, Part, PlacementRow,
 };
-use crate::protocol::json_size;
 use crate::protocol::store::{Change, Condition, Event, Row, StoreAnswer, StoreRequest, Txn};
 use crate::protocol::users::{Phase, Priority, Spec};
 use crate::protocol::workers::{Order, Report};
 use crate::time::Micros;
+use packing::{entry_bytes, PagePacker};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -43,14 +45,6 @@
 
 /// What an entry says of a job beside its description.
 const HEADER: usize = 50;
-/// What a piece of a part takes at least beside its frame.
-const SLIVER: usize = 80;
-/// Room in a transaction, below the service's 64 KiB.
-const TXN_BYTES: usize = 54 * 1024;
-/// What a page holds beside its entries.
-const PAGE_FRAME: usize = 200;
-/// What a page holds for each job it describes beside its entry.
-const BORN: usize = 14;
 const TIMEOUT: Micros = Micros::from_millis(700);
 /// Outcomes are recorded after this long at the latest.
 const OUTCOME_DELAY: Micros = Micros::from_millis(1000);
@@ -210,137 +204,6 @@
     pub withdrawn: Vec<JobId>,
 }
 
-/// Entries on their way into pages.
-struct Writer {
-    limit: usize,
-    /// Pages at most, and for a part that doesn't fit into so few.
-    most: usize,
-    hard: usize,
-    pages: Vec<Vec<Entry>>,
-    room: usize,
-    total: usize,
-}
-
-impl Writer {
-    fn new(value: usize, most: usize, hard: usize) -> Writer {
-        Writer {
-            limit: value.saturating_sub(PAGE_FRAME),
-            most: most.min(hard),
-            hard,
-            pages: vec![],
-            room: 0,
-            total: 0,
-        }
-    }
-
-    /// Pages that there are with one more entry of this size.
-    fn pages_with(&self, size: usize) -> usize {
-        self.pages.len() + usize::from(size > self.room)
-    }
-
-    /// Only so many pages from now on.
-    fn at_most(&mut self, pages: usize) {
-        self.hard = self.hard.min(pages);
-        self.most = self.most.min(pages);
-    }
-
-    /// Adds a part, in pieces if it doesn't fit into a page; the index of the first page,
-    /// or `None` if there is no room for all of it. The pieces say together what the part
-    /// says: one that says all of it is the first, and the others add to it.
-    fn add_part(&mut self, part: Part) -> Option<usize> {
-        let empty = |full| Part {
-            job: part.job.clone(),
-            part: part.part,
-            full,
-            last_attempt: part.last_attempt,
-            ..Part::default()
-        };
-        // A part may need more than what is usual; alone, it gets that.
-        let most = if self.pages.is_empty() { self.hard } else { self.most };
-        let frame = json_size(&Entry::Part(empty(false))) + 2;
-        let (mut page, mut room, mut total) = (self.pages.len(), self.room, self.total);
-        let mut pieces = vec![];
-        let mut piece = empty(part.full);
-        if page == 0 || room < frame + SLIVER {
-            (page, room, total) = (page + 1, self.limit, total + PAGE_FRAME);
-        }
-        let first = page - 1;
-        room = room.saturating_sub(frame);
-        total += frame;
-        // What is void is said before what is placed: pieces count in their order.
-        let voids = part.void.iter().map(|r| Item::Void(*r));
-        let dones = part.done.iter().map(|r| Item::Done(*r));
-        let rows = part.placements.into_iter().map(Item::Placed);
-        for item in voids.chain(dones).chain(rows) {
-            let size = item.size();
-            if size > room {
-                pieces.push((page - 1, std::mem::replace(&mut piece, empty(false))));
-                (page, room) = (page + 1, self.limit.saturating_sub(frame));
-                total += PAGE_FRAME + frame;
-            }
-            room = room.checked_sub(size)?;
-            total += size;
-            match item {
-                Item::Void(range) => piece.void.push(range),
-                Item::Done(range) => piece.done.push(range),
-                Item::Placed(row) => piece.placements.push(row),
-            }
-        }
-        pieces.push((page - 1, piece));
-        if page > most || total > TXN_BYTES {
-            return None;
-        }
-        self.pages.resize_with(page, Vec::new);
-        (self.room, self.total) = (room, total);
-        for (page, piece) in pieces {
-            self.pages.get_mut(page)?.push(Entry::Part(piece));
-        }
-        Some(first)
-    }
-
-    /// Adds an entry; the index of its page, or `None` if there is no room left.
-    fn add(&mut self, entry: Entry) -> Option<usize> {
-        let born = if entry.describes().is_some() { BORN } else { 0 };
-        let size = json_size(&entry) + 2 + born;
-        if self.total + size > TXN_BYTES {
-            return None;
-        }
-        if size > self.room {
-            if self.pages.len() >= self.most || size > self.limit {
-                return None;
-            }
-            self.pages.push(vec![]);
-            self.room = self.limit;
-            self.total += PAGE_FRAME;
-        }
-        self.room -= size;
-        self.total += size;
-        self.pages.last_mut()?.push(entry);
-        Some(self.pages.len() - 1)
-    }
-
-    fn is_empty(&self) -> bool {
-        self.pages.is_empty()
-    }
-}
-
-/// What a part says, one by one.
-enum Item {
-    Void((u32, u32)),
-    Done((u32, u32)),
-    Placed(PlacementRow),
-}
-
-impl Item {
-    /// Its size in a list.
-    fn size(&self) -> usize {
-        1 + match self {
-            Item::Void(range) | Item::Done(range) => json_size(range),
-            Item::Placed(row) => json_size(row),
-        }
-    }
-}
-
 /// Adds ranges of tasks to a list of ranges.
 fn with_ranges(list: &mut Vec<(u32, u32)>, more: &[(u32, u32)]) {
     list.extend_from_slice(more);
@@ -719,7 +582,7 @@
 
     /// Adds a part to the transaction, with its job's description if that is
     /// not in the book; false if there is no room left.
-    fn write_part(&mut self, w: &mut Writer, f: &mut InFlight, seq: u64, id: &JobId, n: u32, ops: usize) -> bool {
+    fn write_part(&mut self, w: &mut PagePacker, f: &mut InFlight, seq: u64, id: &JobId, n: u32, ops: usize) -> bool {
         let Some(job) = self.jobs.get(id) else { return true };
         if job.closing || f.parts.iter().any(|p| p.part == n && p.job == *id) {
             return true;
@@ -738,7 +601,7 @@
         let key = keys::job(id);
         let conditioned = f.txn.conditions.iter().any(|c| c.key == key);
         // Room is left for the conditions on the pages' own keys.
-        if !starts.is_empty() && !conditioned && f.txn.conditions.len() + w.hard + 1 > 4 * ops {
+        if !starts.is_empty() && !conditioned && f.txn.conditions.len() + w.page_limit() + 1 > 4 * ops {
             return false;
         }
         if !self.write_header(w, f, seq, id) {
@@ -782,7 +645,7 @@
     }
 
     /// Adds a job's description if the book does not have it as it is now.
-    fn write_header(&mut self, w: &mut Writer, f: &mut InFlight, seq: u64, id: &JobId) -> bool {
+    fn write_header(&mut self, w: &mut PagePacker, f: &mut InFlight, seq: u64, id: &JobId) -> bool {
         let Some(job) = self.jobs.get(id) else { return true };
         let unwritten = (job.version, id.clone());
         let due = self.committer.unwritten.contains(&unwritten) || job.base < f.oldest;
@@ -792,7 +655,7 @@
         let cancelled = job.cancelled.is_some();
         let came_ms = self.day_ms + job.came.0 / 1000;
         // It was accepted into a value of this size; one of an older version may be larger.
-        let Some(spec) = records::kept(&job.spec, came_ms, w.limit.saturating_sub(HEADER)) else {
+        let Some(spec) = records::kept(&job.spec, came_ms, w.page_bytes().saturating_sub(HEADER)) else {
             // It stays unwritten, and so does all that is placed of it: nothing starts.
             tracing::error!(job = %id, "the description doesn't fit into a page of the book");
             return true;
@@ -847,7 +710,7 @@
         // Ends of jobs take changes of their own; whatever else there is, some go out.
         let ends = (c.complete.len() + c.withdrawn.len()).min((ops / 4).max(1));
         let pages = PAGES.min(ops * 3 / 4).min(self.committer.most.max(1));
-        let mut w = Writer::new(value, pages, ops - ends);
+        let mut w = PagePacker::new(value, pages, ops - ends);
         let mut f = Box::new(InFlight {
             oldest: self.clean_up_to(value),
             ..InFlight::default()
@@ -902,7 +765,7 @@
             self.committer.withdrawn.remove(&id);
             f.withdrawn.push(id);
         }
-        w.at_most(ops - f.txn.changes.len());
+        w.lower_limit(ops - f.txn.changes.len());
         let unwritten: Vec<JobId> = self.committer.unwritten.iter().map(|u| u.1.clone()).collect();
         for id in unwritten {
             let Some(job) = self.jobs.get(&id) else { continue };
@@ -998,7 +861,7 @@
 
     /// Writes again what stands in pages that are to go, as far as there is
     /// room, and sets how far that has come.
-    fn clean(&mut self, w: &mut Writer, f: &mut InFlight, seq: u64, ops: usize, value: usize) {
+    fn clean(&mut self, w: &mut PagePacker, f: &mut InFlight, seq: u64, ops: usize, value: usize) {
         let goal = f.oldest;
         // What is rewritten fills pages that are there anyway: pages of its own
         // would have to be cleaned in turn, ever more of them.
@@ -1008,9 +871,9 @@
         let more = match behind {
             0 => 0,
             _ if behind < LEAST_PAGES => 2,
-            _ => w.hard,
+            _ => w.page_limit(),
         };
-        w.most = (w.pages.len().max(1) + more).min(w.hard);
+        w.allow_more_pages(more);
         let mut old: Vec<(u64, JobId, Option<u32>)> = vec![];
         for (id, job) in self.jobs.iter().filter(|(_, j)| !j.closing) {
             if job.base > 0 && job.base < goal {
@@ -1068,7 +931,7 @@
     }
 
     /// Turns entries into pages of the transaction.
-    fn seal(&mut self, f: &mut InFlight, w: Writer, seq: u64, lead: &Leadership, now: Micros) {
+    fn seal(&mut self, f: &mut InFlight, w: PagePacker, seq: u64, lead: &Leadership, now: Micros) {
         let jobs = &self.jobs;
         let unseen = |(version, id): &(u64, JobId)| {
             let job = jobs.get(id)?;
@@ -1084,7 +947,7 @@
             .map_or(known, |v| known.min(v.saturating_sub(1)))
             .max(self.committer.seen);
         let at_ms = self.committer.book_ms(now);
-        for (i, entries) in w.pages.into_iter().enumerate() {
+        for (i, entries) in w.into_pages().into_iter().enumerate() {
             let born = |entry: &Entry| {
                 let job = jobs.get(entry.describes()?.id.as_str()).filter(|j| !j.ageless);
                 Some(job.map_or(0, |j| self.committer.book_ms(j.arrived)))
@@ -1303,14 +1166,14 @@
 
 /// Adds the end of a job: its final phase, on condition that its key is as it was. False if
 /// there is no room left for it, with the pages there are and the one that says so.
-fn add_end(w: &mut Writer, f: &mut InFlight, ops: usize, id: &JobId, stamp: u64, phase: Phase) -> bool {
+fn add_end(w: &mut PagePacker, f: &mut InFlight, ops: usize, id: &JobId, stamp: u64, phase: Phase) -> bool {
     let over = Entry::Over(id.to_string());
-    let pages = w.pages_with(json_size(&over) + 2);
+    let pages = w.pages_with(entry_bytes(&over));
     let changes = f.txn.changes.len() + 1 + pages;
-    if changes > ops || f.txn.conditions.len() + 1 + pages > 4 * ops || pages > w.hard {
+    if changes > ops || f.txn.conditions.len() + 1 + pages > 4 * ops || pages > w.page_limit() {
         return false;
     }
-    w.most = w.most.max(pages);
+    w.raise_budget(pages);
     if w.add(over).is_none() {
         return false;
     }
