What follows from a transaction's answer is in modules of its own

From commit/mod.rs: answers (what each answer of the state service means for the transaction in flight, a method an answer in place of one match of 130 lines), outcome (undoing or applying it) and transaction (typed structs in place of tuples; in_flight in place of flying, probe in place of witness). The constructor of a machine known by name only, which had nothing to do with the log, goes to machines.rs.

--- a/src/coordination/commit/mod.rs
+++ b/src/coordination/commit/mod.rs
@@ -7,27 +7,29 @@
 //! written again with later ones until nothing is left there; then the keys of
 //! those pages are used anew.
 
+mod answers;
+mod outcome;
 pub mod packing;
 mod read_log;
 pub mod replay;
 mod restore;
+mod transaction;
 
-use super::book::{Job, Leader, Machine, MachineState, Stage, TaskState};
+use super::book::{Job, Leader, Stage, TaskState};
 use super::leadership::Leadership;
 use super::store_queue::Urgency;
-use super::{Core, JobId, Shared, Site, Wait};
+use super::{JobId, Shared, Site, Wait};
 use crate::bookkeeping::keys;
-use crate::bookkeeping::records::{self, from_value, ranges, to_value, Care, Entry, JobValue, Page, Part};
-use crate::protocol::store::{Change, Condition, StoreAnswer, StoreRequest, Txn};
+use crate::bookkeeping::records::{self, ranges, to_value, Entry, JobValue, Page, Part};
+use crate::protocol::store::{StoreRequest, Txn};
 use crate::protocol::users::{Phase, Priority};
-use crate::protocol::workers::{Order, Report};
 use crate::time::Micros;
 use packing::{entry_bytes, PagePacker};
 use read_log::LogReader;
 use replay::{FreeSlot, LivePage};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::rc::Rc;
+use std::collections::{BTreeSet, VecDeque};
+use transaction::{PendingTransaction, WrittenClaim, WrittenDescription, WrittenPage, WrittenPart, WrittenStart};
 
 /// What an answer of the state service is for.
 #[derive(Clone, Debug)]
@@ -43,7 +45,7 @@
     Audit,
     Commit,
     /// A transaction went unanswered; this key tells whether it was executed.
-    Witness,
+    Probe,
 }
 
 /// What an entry says of a job beside its description.
@@ -56,7 +58,7 @@
 /// What nobody waits for is gathered for this long.
 const GATHER_REST: Micros = Micros::from_millis(400);
 /// Pages that a transaction writes at most.
-const PAGES: usize = 6;
+const MAX_PAGES: usize = 6;
 /// How many closed jobs are remembered.
 const CLOSED_JOBS: usize = 20_000;
 /// What a placement takes in the book.
@@ -65,42 +67,13 @@
 const LEAST_PAGES: usize = 48;
 const LEAST_BYTES: usize = 256 * 1024;
 
-/// A part of a job in the transaction in flight.
-struct FlyingPart {
-    job: JobId,
-    part: u32,
-    /// The page that says all of it, if one does.
-    base: Option<u64>,
-    done: BTreeSet<u32>,
-    void: BTreeSet<u32>,
-}
-
-#[derive(Default)]
-struct InFlight {
-    txn: Txn,
-    /// Slot and seq of each page.
-    pages: Vec<(u32, u64)>,
-    oldest: u64,
-    seen: u64,
-    headers: Vec<(JobId, u64, bool)>,
-    parts: Vec<FlyingPart>,
-    starts: Vec<(JobId, u32, u64)>,
-    closed: Vec<JobId>,
-    withdrawn: Vec<JobId>,
-    cleaned: Vec<JobId>,
-    claims: Vec<(String, u64)>,
-    settled: Vec<String>,
-    /// It went unanswered once: it may be executed at any time.
-    in_doubt: bool,
-}
-
 /// Writes the book, and remembers which jobs it has closed.
 #[derive(Default)]
 pub struct Committer {
     /// Reads the book at a takeover.
     reader: Option<Box<LogReader>>,
     loaded: bool,
-    flying: Option<Box<InFlight>>,
+    in_flight: Option<Box<PendingTransaction>>,
     resend_at: Option<Micros>,
     last_sent: Micros,
     /// What the book's clock is ahead of this process's, in milliseconds.
@@ -115,7 +88,7 @@
     last_seq: u64,
     seen: u64,
     /// Pages that a transaction writes at most, less while it is refused.
-    most: usize,
+    page_budget: usize,
     /// Parts with starts to be recorded, the most urgent first.
     pub starting: BTreeSet<(Reverse<Priority>, u64, JobId, u32)>,
     /// Parts that differ from the book, in the order in which they changed.
@@ -139,8 +112,8 @@
 
     /// Whether the transaction in flight records this start.
     pub fn carries(&self, id: &JobId, task: u32) -> bool {
-        let flying = self.flying.as_ref();
-        flying.is_some_and(|f| f.starts.iter().any(|(j, t, _)| *t == task && j == id))
+        let pending = self.in_flight.as_ref();
+        pending.is_some_and(|p| p.records_start(id, task))
     }
 
     /// Pages that still say something.
@@ -158,6 +131,11 @@
         Micros((ms as i64 - self.ahead_ms).max(0) as u64 * 1000)
     }
 
+    /// Whether the transaction in flight may be executed without a word of it.
+    fn is_in_doubt(&self) -> bool {
+        self.in_flight.as_ref().is_some_and(|p| p.in_doubt)
+    }
+
     /// A slot for a page: one whose page says nothing any more, or a new one.
     fn take_slot(&mut self) -> FreeSlot {
         self.free.pop().unwrap_or_else(|| {
@@ -233,7 +211,15 @@
 
     /// Adds a part to the transaction, with its job's description if that is
     /// not in the book; false if there is no room left.
-    fn write_part(&mut self, w: &mut PagePacker, f: &mut InFlight, seq: u64, id: &JobId, n: u32, ops: usize) -> bool {
+    fn write_part(
+        &mut self,
+        w: &mut PagePacker,
+        f: &mut PendingTransaction,
+        seq: u64,
+        id: &JobId,
+        n: u32,
+        ops: usize,
+    ) -> bool {
         let Some(job) = self.jobs.get(id) else { return true };
         if job.closing || f.parts.iter().any(|p| p.part == n && p.job == *id) {
             return true;
@@ -243,11 +229,15 @@
         }
         let from = n * self.chunk_tasks;
         let to = from + self.chunk_tasks;
-        let starts: Vec<(JobId, u32, u64)> = job
+        let starts: Vec<WrittenStart> = job
             .placed
             .range(from..to)
             .filter(|(_, p)| p.stage == Stage::Committing)
-            .map(|(t, p)| (id.clone(), *t, p.attempt))
+            .map(|(t, p)| WrittenStart {
+                job: id.clone(),
+                task: *t,
+                attempt: p.attempt,
+            })
             .collect();
         let key = keys::job(id);
         let conditioned = f.txn.conditions.iter().any(|c| c.key == key);
@@ -260,7 +250,7 @@
         }
         let Some(job) = self.jobs.get(id) else { return true };
         // Without a description, what is placed would mean nothing to the next leader.
-        if job.base == 0 && !f.headers.iter().any(|(j, _, _)| j == id) {
+        if job.base == 0 && !f.descriptions.iter().any(|d| d.job == *id) {
             return true;
         }
         let full = chunk_is_new(job, n) || chunk_is_old(job, n, f.oldest);
@@ -274,7 +264,7 @@
         // key is as it was when it was accepted, not there or with that version.
         if !starts.is_empty() && !conditioned {
             let version = job.stamp;
-            f.txn.conditions.push(Condition { key, version });
+            f.require(key, version);
         }
         let version = job.version;
         if let Some(chunk) = self.jobs.get_mut(id).and_then(|j| j.chunks.get_mut(&n)) {
@@ -283,10 +273,10 @@
                 self.committer.starting.remove(&entry);
             }
             chunk.dirty = None;
-            f.parts.push(FlyingPart {
+            f.parts.push(WrittenPart {
                 job: id.clone(),
                 part: n,
-                base: full.then_some(seq + page as u64),
+                page: full.then_some(seq + page as u64),
                 done: std::mem::take(&mut chunk.done),
                 void: std::mem::take(&mut chunk.void),
             });
@@ -296,11 +286,11 @@
     }
 
     /// Adds a job's description if the book does not have it as it is now.
-    fn write_header(&mut self, w: &mut PagePacker, f: &mut InFlight, seq: u64, id: &JobId) -> bool {
+    fn write_header(&mut self, w: &mut PagePacker, f: &mut PendingTransaction, seq: u64, id: &JobId) -> bool {
         let Some(job) = self.jobs.get(id) else { return true };
         let unwritten = (job.version, id.clone());
         let due = self.committer.unwritten.contains(&unwritten) || job.base < f.oldest;
-        if !due || job.closing || f.headers.iter().any(|(j, _, _)| j == id) {
+        if !due || job.closing || f.descriptions.iter().any(|d| d.job == *id) {
             return true;
         }
         let cancelled = job.cancelled.is_some();
@@ -317,8 +307,12 @@
             _ => Entry::Open(job.version, cancelled, spec),
         };
         let Some(page) = w.add(entry) else { return false };
-        let was = self.committer.unwritten.remove(&unwritten);
-        f.headers.push((id.clone(), seq + page as u64, was));
+        let was_due = self.committer.unwritten.remove(&unwritten);
+        f.descriptions.push(WrittenDescription {
+            job: id.clone(),
+            page: seq + page as u64,
+            was_due,
+        });
         true
     }
 
@@ -328,13 +322,13 @@
         if let Some(at) = self.committer.resend_at {
             if now >= at {
                 self.committer.resend_at = None;
-                if let Some(flying) = &self.committer.flying {
-                    self.send(sh, flying.txn.clone());
+                if let Some(pending) = &self.committer.in_flight {
+                    self.send(sh, pending.txn.clone());
                 }
             }
             return;
         }
-        if self.committer.flying.is_some() || lead.is_taking() {
+        if self.committer.in_flight.is_some() || lead.is_taking() {
             return;
         }
         let c = &self.committer;
@@ -360,16 +354,19 @@
         let seq = c.last_seq + 1;
         // Ends of jobs take changes of their own; whatever else there is, some go out.
         let ends = (c.complete.len() + c.withdrawn.len()).min((ops / 4).max(1));
-        let pages = PAGES.min(ops * 3 / 4).min(self.committer.most.max(1));
+        let pages = MAX_PAGES.min(ops * 3 / 4).min(self.committer.page_budget.max(1));
         let mut w = PagePacker::new(value, pages, ops - ends);
-        let mut f = Box::new(InFlight {
+        let mut f = Box::new(PendingTransaction {
             oldest: self.clean_up_to(value),
-            ..InFlight::default()
+            ..PendingTransaction::default()
         });
         f.txn.conditions.push(lead.condition());
         for (id, value) in claims {
             if let Some(page) = w.add(Entry::Claim(id.clone(), value)) {
-                f.claims.push((id, seq + page as u64));
+                f.claims.push(WrittenClaim {
+                    claim: id,
+                    page: seq + page as u64,
+                });
             }
         }
         let starting: Vec<(JobId, u32)> = self
@@ -401,7 +398,7 @@
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.closing = true;
             }
-            f.closed.push(id);
+            f.completed.push(id);
         }
         let withdrawn: Vec<JobId> = self.committer.withdrawn.iter().cloned().collect();
         for id in withdrawn {
@@ -442,7 +439,7 @@
             }
             self.committer.unwritten.remove(&(job.version, id.clone()));
             self.committer.ended.remove(&id);
-            f.cleaned.push(id);
+            f.ended.push(id);
         }
         for id in settled {
             if w.add(Entry::Settled(id.clone())).is_some() {
@@ -474,17 +471,17 @@
         self.committer.written.1 += f.txn.changes.len() as u64;
         tracing::debug!(
             pages = f.pages.len(),
-            headers = f.headers.len(),
+            headers = f.descriptions.len(),
             parts = f.parts.len(),
-            rewritten = f.parts.iter().filter(|p| p.base.is_some()).count(),
+            rewritten = f.parts.iter().filter(|p| p.page.is_some()).count(),
             starts,
-            closed = f.closed.len(),
-            over = f.cleaned.len(),
+            closed = f.completed.len(),
+            over = f.ended.len(),
             "transaction"
         );
         let txn = f.txn.clone();
         self.committer.last_sent = now;
-        self.committer.flying = Some(f);
+        self.committer.in_flight = Some(f);
         sh.store.push(
             urgency,
             StoreRequest::Txn(txn),
@@ -512,7 +509,7 @@
 
     /// Writes again what stands in pages that are to go, as far as there is
     /// room, and sets how far that has come.
-    fn clean(&mut self, w: &mut PagePacker, f: &mut InFlight, seq: u64, ops: usize, value: usize) {
+    fn clean(&mut self, w: &mut PagePacker, f: &mut PendingTransaction, seq: u64, ops: usize, value: usize) {
         let goal = f.oldest;
         // What is rewritten fills pages that are there anyway: pages of its own
         // would have to be cleaned in turn, ever more of them.
@@ -538,7 +535,7 @@
         }
         old.sort();
         for (_, id, n) in old {
-            if f.closed.contains(&id) || f.cleaned.contains(&id) || f.withdrawn.contains(&id) {
+            if f.completed.contains(&id) || f.ended.contains(&id) || f.withdrawn.contains(&id) {
                 continue;
             }
             let fits = match n {
@@ -551,21 +548,24 @@
         }
         for (id, value) in self.fleet.claims_before(goal) {
             if let Some(page) = w.add(Entry::Claim(id.clone(), value)) {
-                f.claims.push((id, seq + page as u64));
+                f.claims.push(WrittenClaim {
+                    claim: id,
+                    page: seq + page as u64,
+                });
             }
         }
         // What still stands in old pages keeps them.
-        let headers: BTreeSet<&JobId> = f.headers.iter().map(|h| &h.0).collect();
+        let headers: BTreeSet<&JobId> = f.descriptions.iter().map(|d| &d.job).collect();
         let parts: BTreeSet<(&JobId, u32)> = f
             .parts
             .iter()
-            .filter(|p| p.base.is_some())
+            .filter(|p| p.page.is_some())
             .map(|p| (&p.job, p.part))
             .collect();
-        let claims: BTreeSet<&str> = f.claims.iter().map(|c| c.0.as_str()).collect();
+        let claims: BTreeSet<&str> = f.claims.iter().map(|c| c.claim.as_str()).collect();
         let mut oldest = seq;
         for (id, job) in &self.jobs {
-            if f.closed.contains(id) || f.cleaned.contains(id) || f.withdrawn.contains(id) {
+            if f.completed.contains(id) || f.ended.contains(id) || f.withdrawn.contains(id) {
                 continue;
             }
             if job.base > 0 && !headers.contains(id) {
@@ -582,7 +582,7 @@
     }
 
     /// Turns entries into pages of the transaction.
-    fn seal(&mut self, f: &mut InFlight, w: PagePacker, seq: u64, lead: &Leadership, now: Micros) {
+    fn seal(&mut self, f: &mut PendingTransaction, w: PagePacker, seq: u64, lead: &Leadership, now: Micros) {
         let jobs = &self.jobs;
         let unseen = |(version, id): &(u64, JobId)| {
             let job = jobs.get(id)?;
@@ -615,16 +615,8 @@
                 born_ms,
                 entries,
             };
-            f.txn.conditions.push(Condition {
-                key: key.clone(),
-                version,
-            });
-            f.txn.changes.push(Change::Put {
-                key,
-                value: to_value(&page),
-                lease: None,
-            });
-            f.pages.push((slot, page.seq));
+            f.put(key, version, to_value(&page));
+            f.pages.push(WrittenPage { slot, seq: page.seq });
         }
     }
 
@@ -636,181 +628,11 @@
             TIMEOUT,
         );
     }
-
-    /// Nothing of the transaction in flight was executed: all of it is to be
-    /// written anew.
-    fn undo(&mut self, now: Micros) {
-        let Some(f) = self.committer.flying.take() else { return };
-        for (slot, _) in &f.pages {
-            let key = keys::page(*slot);
-            let version = f.txn.conditions.iter().find(|c| c.key == key).map_or(0, |c| c.version);
-            self.committer.free.push(FreeSlot { slot: *slot, version });
-        }
-        for id in &f.closed {
-            if let Some(job) = self.jobs.get_mut(id) {
-                job.closing = false;
-                self.committer.complete.insert(id.clone());
-                if job.base == 0 {
-                    self.committer.unwritten.insert((job.version, id.clone()));
-                }
-            }
-        }
-        for id in &f.withdrawn {
-            if let Some(job) = self.jobs.get_mut(id) {
-                job.closing = false;
-                self.committer.withdrawn.insert(id.clone());
-            }
-        }
-        for id in f.cleaned {
-            if let Some(job) = self.jobs.get(&id) {
-                self.committer.unwritten.insert((job.version, id.clone()));
-            }
-            self.committer.ended.insert(id);
-        }
-        for (id, _, was) in f.headers {
-            if let (true, Some(job)) = (was, self.jobs.get(&id)) {
-                self.committer.unwritten.insert((job.version, id));
-            }
-        }
-        for p in f.parts {
-            let from = p.part * self.chunk_tasks;
-            let range = from..from + self.chunk_tasks;
-            let Some(job) = self.jobs.get_mut(&p.job) else { continue };
-            let starts = job.placed.range(range).any(|(_, p)| p.stage == Stage::Committing);
-            let Some(chunk) = job.chunks.get_mut(&p.part) else {
-                continue;
-            };
-            chunk.done.extend(p.done);
-            chunk.void.extend(p.void);
-            if starts {
-                let priority = *chunk.queued.get_or_insert(job.priority);
-                let entry = (Reverse(priority), job.version, p.job.clone(), p.part);
-                self.committer.starting.insert(entry);
-            }
-            self.touch(&p.job, p.part, now);
-            self.drop_unrecorded(&p.job, now);
-        }
-    }
-
-    /// The transaction in flight was executed at this revision.
-    fn apply(&mut self, sh: &mut Shared, revision: u64) -> Ends {
-        let Some(f) = self.committer.flying.take() else {
-            return Ends::default();
-        };
-        let ends = Ends {
-            done: f.closed.clone(),
-            withdrawn: f.withdrawn.clone(),
-        };
-        let now = sh.now;
-        for (slot, seq) in f.pages {
-            self.committer.last_seq = self.committer.last_seq.max(seq);
-            self.committer.pages.push_back(LivePage {
-                slot,
-                seq,
-                version: revision,
-            });
-        }
-        while self.committer.pages.front().is_some_and(|p| p.seq < f.oldest) {
-            if let Some(p) = self.committer.pages.pop_front() {
-                self.committer.free.push(FreeSlot {
-                    slot: p.slot,
-                    version: p.version,
-                });
-            }
-        }
-        self.committer.seen = f.seen;
-        self.committer.most = (self.committer.most + 1).min(PAGES);
-        for (id, base, _) in f.headers {
-            if let Some(job) = self.jobs.get_mut(&id) {
-                job.base = base;
-            }
-        }
-        for p in f.parts {
-            let Some(job) = self.jobs.get_mut(&p.job) else { continue };
-            if let (Some(base), Some(chunk)) = (p.base, job.chunks.get_mut(&p.part)) {
-                chunk.base = base;
-            }
-            for task in p.done {
-                if job.states[task as usize] != TaskState::Finished {
-                    continue;
-                }
-                job.states[task as usize] = TaskState::Recorded;
-                // The exited task may be forgotten now; its report will show
-                // it without a record.
-                if let Some(placed) = job.placed.remove(&task) {
-                    if let Some(m) = self.machines.get_mut(&placed.machine) {
-                        m.tasks.remove(&(p.job.clone(), task));
-                        m.to_forget = true;
-                    }
-                }
-            }
-        }
-        for (id, task, attempt) in f.starts {
-            let Some(job) = self.jobs.get_mut(&id) else { continue };
-            let live = job.is_live();
-            let Some(p) = job.placed.get_mut(&task) else { continue };
-            if p.attempt != attempt || p.stage != Stage::Committing {
-                continue;
-            }
-            p.stage = Stage::Sent;
-            p.since = now;
-            let stays = self
-                .machines
-                .get(&p.machine)
-                .is_some_and(|m| m.session == p.session && m.release_sent.is_none());
-            if !live || p.stop.is_some() || !stays {
-                // Nothing was ever sent for this record, and only this leader
-                // could have: it is void without a word from the machine.
-                self.free(&id, task, now);
-                continue;
-            }
-            p.sent = true;
-            let machine = p.machine.clone();
-            if let Some(m) = self.machines.get_mut(&machine) {
-                m.urgent.push(Order::Start {
-                    task: format!("{id}/{task}"),
-                    attempt,
-                });
-                self.urgent.insert(machine);
-            }
-        }
-        for id in f.closed {
-            if let Some(job) = self.jobs.remove(&id) {
-                tracing::debug!(job = %id, took_s = now.since(job.arrived).secs(), "job done");
-                for (task, p) in &job.placed {
-                    if let Some(m) = self.machines.get_mut(&p.machine) {
-                        m.tasks.remove(&(id.clone(), *task));
-                        m.to_forget = true;
-                        if !matches!(p.stage, Stage::Exited(_)) {
-                            m.take(&job.spec, -1.0);
-                        }
-                    }
-                }
-            }
-            self.committer.remember_closed(id);
-        }
-        for id in f.cleaned.into_iter().chain(f.withdrawn) {
-            self.jobs.remove(&id);
-            self.committer.remember_closed(id);
-        }
-        for (id, base) in f.claims {
-            self.fleet.claim_recorded(&id, base);
-        }
-        self.fleet.claims_dropped(&f.settled);
-        ends
-    }
-
-    /// Logs why a transaction was not executed; never handles it.
-    fn note_failure(&self, answer: &StoreAnswer) -> bool {
-        let in_doubt = self.committer.flying.as_ref().is_some_and(|f| f.in_doubt);
-        tracing::debug!(?answer, in_doubt, "transaction not executed");
-        false
-    }
 }
 
 /// Adds the end of a job: its final phase, on condition that its key is as it was. False if
 /// there is no room left for it, with the pages there are and the one that says so.
-fn add_end(w: &mut PagePacker, f: &mut InFlight, ops: usize, id: &JobId, stamp: u64, phase: Phase) -> bool {
+fn add_end(w: &mut PagePacker, f: &mut PendingTransaction, ops: usize, id: &JobId, stamp: u64, phase: Phase) -> bool {
     let over = Entry::Over(id.to_string());
     let pages = w.pages_with(entry_bytes(&over));
     let changes = f.txn.changes.len() + 1 + pages;
@@ -821,17 +643,8 @@
     if w.add(over).is_none() {
         return false;
     }
-    let key = keys::job(id);
-    f.txn.conditions.push(Condition {
-        key: key.clone(),
-        version: stamp,
-    });
     let value = to_value(&JobValue { phase, spec: None });
-    f.txn.changes.push(Change::Put {
-        key,
-        value,
-        lease: None,
-    });
+    f.put(keys::job(id), stamp, value);
     true
 }
 
@@ -842,191 +655,3 @@
 fn chunk_is_old(job: &Job, n: u32, goal: u64) -> bool {
     job.chunks.get(&n).is_some_and(|c| c.base < goal)
 }
-
-impl Core {
-    pub(super) fn on_leader_store(&mut self, wait: super::commit::LeaderWait, answer: StoreAnswer) {
-        let Some(leader) = self.leader.as_mut() else { return };
-        let sh = &mut self.sh;
-        match wait {
-            LeaderWait::Pages | LeaderWait::News | LeaderWait::AllJobs => {
-                if leader.take_log_answer(&wait, answer) {
-                    leader.chunk_tasks = records::chunk_tasks(self.site.limits.present_value_bytes());
-                    let gap = Micros::from_secs(self.site.settings.operator.leader_lease_s);
-                    leader.finish_loading(sh, gap);
-                    self.take_early_reports();
-                }
-            }
-            LeaderWait::Audit => self.on_audit(answer),
-            LeaderWait::Care => {
-                let StoreAnswer::Rows(rows) = answer else { return };
-                for row in rows.items {
-                    let before = leader.care.insert(row.key.clone(), row.version);
-                    if before == Some(row.version) {
-                        continue;
-                    }
-                    let Some(care) = from_value::<Care>(&row.value) else {
-                        tracing::error!(key = row.key, "malformed value of kept machines");
-                        continue;
-                    };
-                    for name in &care.kept {
-                        if let Some(m) = leader.machines.get_mut(name.as_str()) {
-                            m.kept_at = sh.now;
-                        }
-                    }
-                    match glenhaven_packed::unpack::<Report>(&care.told) {
-                        Ok(told) => leader.told_by_store(&self.site, &told, sh.now),
-                        Err(_) if care.told.is_empty() => {}
-                        Err(error) => tracing::error!(key = row.key, %error, "malformed reports"),
-                    }
-                }
-            }
-            LeaderWait::Commit => match answer {
-                // An operator looks for these when starts lag.
-                ref other if !matches!(other, StoreAnswer::Committed { .. }) && leader.note_failure(other) => {}
-                StoreAnswer::Committed { revision } => {
-                    let ends = leader.apply(sh, revision);
-                    self.learn_ends(ends, revision);
-                }
-                StoreAnswer::Conflict { failed, .. } => {
-                    let Some(f) = leader.committer.flying.as_ref() else {
-                        return;
-                    };
-                    if f.in_doubt {
-                        // Executed before, or never: a key of it tells.
-                        let request = StoreRequest::Get { key: witness(f) };
-                        let wait = Wait::Leader(leader.incarnation, LeaderWait::Witness);
-                        sh.store.push(Urgency::Start, request, wait, Micros::from_millis(400));
-                        return;
-                    }
-                    let own = failed.iter().any(|k| k.starts_with(keys::OPEN));
-                    leader.undo(sh.now);
-                    for key in &failed {
-                        if let Some(id) = key.strip_prefix(keys::JOBS) {
-                            leader.cancel(id, sh.now);
-                        }
-                    }
-                    if own {
-                        self.step_down("the book does not agree with the state service");
-                    } else if failed.iter().any(|k| k == keys::TERM) && !self.lead.is_taking() {
-                        // Either our own raise, already known here, or another
-                        // node leads; the watch on the term tells in a moment.
-                        if let Some(l) = self.leader.as_mut() {
-                            l.committer.resend_at = Some(self.sh.now + Micros::from_millis(30));
-                        }
-                    }
-                }
-                StoreAnswer::Refused => {
-                    let in_doubt = leader.committer.flying.as_ref().is_some_and(|f| f.in_doubt);
-                    if !in_doubt {
-                        leader.committer.most = 1;
-                        leader.undo(sh.now);
-                    }
-                    leader.committer.resend_at = Some(sh.now + sh.jitter(Micros::from_millis(40)));
-                }
-                StoreAnswer::Malformed | StoreAnswer::NoLease => {
-                    tracing::error!("the state service calls a transaction malformed");
-                    self.step_down("a transaction was called malformed");
-                }
-                _ => {
-                    // The same conditions again: at most one of the two can
-                    // be executed.
-                    if let Some(f) = leader.committer.flying.as_mut() {
-                        f.in_doubt = true;
-                    }
-                    leader.committer.resend_at = Some(sh.now + sh.jitter(Micros::from_millis(20)));
-                }
-            },
-            LeaderWait::Witness => {
-                let Some(f) = leader.committer.flying.as_ref() else {
-                    return;
-                };
-                let key = witness(f);
-                let expected = f.txn.conditions.iter().find(|c| c.key == key).map_or(0, |c| c.version);
-                let seq = f.pages.first().map_or(0, |p| p.1);
-                match answer {
-                    StoreAnswer::Row(row) if row.version != expected => {
-                        // Only a leader writes there: this one, or one of a
-                        // later term, which ends this leadership.
-                        let ours = |page: &Page| page.seq == seq && page.term <= leader.term;
-                        match from_value::<Page>(&row.value).filter(ours) {
-                            Some(_) => {
-                                let ends = leader.apply(sh, row.version);
-                                self.learn_ends(ends, row.version);
-                            }
-                            None => self.step_down("another leader writes the book"),
-                        }
-                    }
-                    StoreAnswer::Row(_) | StoreAnswer::Missing { .. } => {
-                        // Never executed, and it cannot be any more: one of its
-                        // conditions has failed for good. Watches bring what
-                        // changed.
-                        leader.undo(sh.now);
-                    }
-                    _ => {
-                        let at = sh.now + sh.jitter(Micros::from_millis(60));
-                        sh.store.push_at(
-                            at,
-                            Urgency::Start,
-                            StoreRequest::Get { key },
-                            Wait::Leader(leader.incarnation, LeaderWait::Witness),
-                            Micros::from_millis(400),
-                        );
-                    }
-                }
-            }
-        }
-    }
-}
-
-/// The key whose version tells whether a transaction was executed: one that
-/// only the leader writes.
-fn witness(f: &InFlight) -> String {
-    f.pages.first().map_or(keys::TERM.into(), |p| keys::page(p.0))
-}
-
-impl Machine {
-    /// A machine known by name only, until it reports or is listed.
-    pub fn unknown(name: Rc<str>, now: Micros) -> Machine {
-        Machine {
-            name,
-            addr: String::new(),
-            machine_type: String::new(),
-            zone: String::new(),
-            spot: false,
-            state: MachineState::Booting,
-            since: now,
-            rented_at: None,
-            session: 0,
-            serial: 0,
-            fence: 0,
-            last_report: now,
-            via: None,
-            moves: 0,
-            asked_at: Micros::ZERO,
-            reports: 0,
-            named: false,
-            kept_at: Micros::ZERO,
-            taken_at: None,
-            tasks: BTreeSet::new(),
-            strangers: 0,
-            images: VecDeque::new(),
-            fetching: BTreeSet::new(),
-            kind: None,
-            used: [0.0; 3],
-            services: 0,
-            room: None,
-            idle_since: None,
-            to_forget: false,
-            in_doubt: BTreeMap::new(),
-            answered: BTreeSet::new(),
-            urgent: vec![],
-            flying: None,
-            faults: BTreeMap::new(),
-            doubted_since: None,
-            doubted_until: Micros::ZERO,
-            release_sent: None,
-            until: Micros::ZERO,
-            slow_until: Micros::ZERO,
-        }
-    }
-}
--- /dev/null
+++ b/src/coordination/commit/outcome.rs
@@ -0,0 +1,216 @@
+//! What follows once it is known whether the transaction in flight was executed: its facts
+//! stand in the log and starts go out, or all of it is to be written anew.
+
+use super::super::book::{Leader, Stage, TaskState};
+use super::super::{JobId, Shared};
+use super::replay::{FreeSlot, LivePage};
+use super::transaction::{PendingTransaction, WrittenPart, WrittenStart};
+use super::{Committer, Ends, MAX_PAGES};
+use crate::bookkeeping::keys;
+use crate::protocol::workers::Order;
+use crate::time::Micros;
+use std::cmp::Reverse;
+
+impl Committer {
+    /// The pages of an executed transaction stand in the log; older ones may say nothing any
+    /// more.
+    fn pages_written(&mut self, pending: &PendingTransaction, revision: u64) {
+        for page in &pending.pages {
+            self.last_seq = self.last_seq.max(page.seq);
+            self.pages.push_back(LivePage {
+                slot: page.slot,
+                seq: page.seq,
+                version: revision,
+            });
+        }
+        let oldest = pending.oldest;
+        while let Some(page) = self.pages.front().copied().filter(|p| p.seq < oldest) {
+            self.pages.pop_front();
+            self.free.push(FreeSlot {
+                slot: page.slot,
+                version: page.version,
+            });
+        }
+        self.seen = pending.seen;
+        self.page_budget = (self.page_budget + 1).min(MAX_PAGES);
+    }
+
+    /// The slots of a transaction that was not executed are free again.
+    fn give_back_slots(&mut self, pending: &PendingTransaction) {
+        for page in &pending.pages {
+            let slot = page.slot;
+            let version = pending.expected_version(&keys::page(slot));
+            self.free.push(FreeSlot { slot, version });
+        }
+    }
+}
+
+impl Leader {
+    /// Nothing of the transaction in flight was executed: all of it is to be written anew.
+    pub(super) fn undo(&mut self, now: Micros) {
+        let Some(pending) = self.committer.in_flight.take() else {
+            return;
+        };
+        self.committer.give_back_slots(&pending);
+        self.undo_ends(&pending);
+        for description in pending.descriptions {
+            let job = self.jobs.get(&description.job);
+            if let (true, Some(job)) = (description.was_due, job) {
+                self.committer.unwritten.insert((job.version, description.job));
+            }
+        }
+        for part in pending.parts {
+            self.undo_part(part, now);
+        }
+    }
+
+    fn undo_ends(&mut self, pending: &PendingTransaction) {
+        for id in &pending.completed {
+            let Some(job) = self.jobs.get_mut(id) else { continue };
+            job.closing = false;
+            self.committer.complete.insert(id.clone());
+            if job.base == 0 {
+                self.committer.unwritten.insert((job.version, id.clone()));
+            }
+        }
+        for id in &pending.withdrawn {
+            let Some(job) = self.jobs.get_mut(id) else { continue };
+            job.closing = false;
+            self.committer.withdrawn.insert(id.clone());
+        }
+        for id in &pending.ended {
+            if let Some(job) = self.jobs.get(id) {
+                self.committer.unwritten.insert((job.version, id.clone()));
+            }
+            self.committer.ended.insert(id.clone());
+        }
+    }
+
+    fn undo_part(&mut self, part: WrittenPart, now: Micros) {
+        let from = part.part * self.chunk_tasks;
+        let tasks = from..from + self.chunk_tasks;
+        let Some(job) = self.jobs.get_mut(&part.job) else {
+            return;
+        };
+        let starts = job.placed.range(tasks).any(|(_, p)| p.stage == Stage::Committing);
+        let Some(chunk) = job.chunks.get_mut(&part.part) else {
+            return;
+        };
+        chunk.done.extend(part.done);
+        chunk.void.extend(part.void);
+        if starts {
+            let priority = *chunk.queued.get_or_insert(job.priority);
+            let entry = (Reverse(priority), job.version, part.job.clone(), part.part);
+            self.committer.starting.insert(entry);
+        }
+        self.touch(&part.job, part.part, now);
+        self.drop_unrecorded(&part.job, now);
+    }
+
+    /// The transaction in flight was executed at this revision.
+    pub(super) fn apply(&mut self, sh: &mut Shared, revision: u64) -> Ends {
+        let Some(pending) = self.committer.in_flight.take() else {
+            return Ends::default();
+        };
+        let now = sh.now;
+        self.committer.pages_written(&pending, revision);
+        for description in pending.descriptions {
+            if let Some(job) = self.jobs.get_mut(&description.job) {
+                job.base = description.page;
+            }
+        }
+        for part in pending.parts {
+            self.apply_part(part);
+        }
+        for start in pending.starts {
+            self.apply_start(start, now);
+        }
+        for id in &pending.completed {
+            self.close_completed(id, now);
+        }
+        for id in pending.ended.into_iter().chain(pending.withdrawn.iter().cloned()) {
+            self.jobs.remove(&id);
+            self.committer.remember_closed(id);
+        }
+        for claim in pending.claims {
+            self.fleet.claim_recorded(&claim.claim, claim.page);
+        }
+        self.fleet.claims_dropped(&pending.settled);
+        Ends {
+            done: pending.completed,
+            withdrawn: pending.withdrawn,
+        }
+    }
+
+    /// A part stands in the log, and with it that tasks have completed.
+    fn apply_part(&mut self, part: WrittenPart) {
+        let Some(job) = self.jobs.get_mut(&part.job) else {
+            return;
+        };
+        if let (Some(page), Some(chunk)) = (part.page, job.chunks.get_mut(&part.part)) {
+            chunk.base = page;
+        }
+        for task in part.done {
+            if job.states[task as usize] != TaskState::Finished {
+                continue;
+            }
+            job.states[task as usize] = TaskState::Recorded;
+            // The exited task may be forgotten now; its report will show it without a record.
+            let Some(placed) = job.placed.remove(&task) else {
+                continue;
+            };
+            if let Some(machine) = self.machines.get_mut(&placed.machine) {
+                machine.tasks.remove(&(part.job.clone(), task));
+                machine.to_forget = true;
+            }
+        }
+    }
+
+    /// The record of a start stands in the log: the start goes out, unless its reason is gone.
+    fn apply_start(&mut self, start: WrittenStart, now: Micros) {
+        let WrittenStart { job: id, task, attempt } = start;
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let live = job.is_live();
+        let Some(placement) = job.placed.get_mut(&task) else {
+            return;
+        };
+        if placement.attempt != attempt || placement.stage != Stage::Committing {
+            return;
+        }
+        placement.stage = Stage::Sent;
+        placement.since = now;
+        let machine = self.machines.get(&placement.machine);
+        let stays = machine.is_some_and(|m| m.session == placement.session && m.release_sent.is_none());
+        if !live || placement.stop.is_some() || !stays {
+            // Nothing was ever sent for this record, and only this leader could have: it is
+            // void without a word from the machine.
+            self.free(&id, task, now);
+            return;
+        }
+        placement.sent = true;
+        let name = placement.machine.clone();
+        if let Some(machine) = self.machines.get_mut(&name) {
+            let task = format!("{id}/{task}");
+            machine.urgent.push(Order::Start { task, attempt });
+            self.urgent.insert(name);
+        }
+    }
+
+    /// An array is recorded as done; its machines may forget its tasks.
+    fn close_completed(&mut self, id: &JobId, now: Micros) {
+        if let Some(job) = self.jobs.remove(id) {
+            tracing::debug!(job = %id, took_s = now.since(job.arrived).secs(), "job done");
+            for (task, placement) in &job.placed {
+                let Some(machine) = self.machines.get_mut(&placement.machine) else {
+                    continue;
+                };
+                machine.tasks.remove(&(id.clone(), *task));
+                machine.to_forget = true;
+                if !matches!(placement.stage, Stage::Exited(_)) {
+                    machine.take(&job.spec, -1.0);
+                }
+            }
+        }
+        self.committer.remember_closed(id.clone());
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -15,6 +15,7 @@
 pub mod gathered;
 pub mod hung;
 pub mod leadership;
+pub mod machines;
 pub mod pace;
 pub mod placement;
 pub mod pools;
