Writing and compaction of the log are modules of their own

The rest of commit/mod.rs is parted: write (a method for each kind of change in place of one function of 190 lines), transaction (Draft in place of six arguments that went together) and compaction (how many pages are kept, and how many are opened when behind, as pure functions with tests). What is left in mod.rs is the state that these share. Names of the field where there were metaphors: compaction, replay, pending transaction, page budget.

--- a/src/coordination/commit/transaction.rs
+++ b/src/coordination/commit/transaction.rs
@@ -1,11 +1,18 @@
-//! A transaction of the log: what has to be known of it until the state service has answered.
+//! A transaction of the log: what one is made of while it is drafted, and what has to be known
+//! of it until the state service has answered.
 
 use super::super::JobId;
+use super::packing::{entry_bytes, PagePacker};
 use crate::bookkeeping::keys;
+use crate::bookkeeping::records::{to_value, ClaimValue, Entry, JobValue, Part};
 use crate::protocol::store::{Change, Condition, Txn};
+use crate::protocol::users::Phase;
 use ciborium::Value;
 use std::collections::BTreeSet;
 
+/// Conditions that the state service takes for each change that it takes.
+const CONDITIONS_PER_CHANGE: usize = 4;
+
 /// A page that is written, and the slot that it goes to.
 pub struct WrittenPage {
     pub slot: u32,
@@ -99,3 +106,95 @@
         }
     }
 }
+
+/// A transaction that is being put together.
+pub struct Draft {
+    pub pending: PendingTransaction,
+    pub packer: PagePacker,
+    /// The number of its first page.
+    pub first_seq: u64,
+    /// What stands in pages before this one is to be written again.
+    pub compact_before: u64,
+    /// Changes that the state service takes in a transaction.
+    pub max_changes: usize,
+}
+
+impl Draft {
+    fn max_conditions(&self) -> usize {
+        CONDITIONS_PER_CHANGE * self.max_changes
+    }
+
+    fn page_seq(&self, index: usize) -> u64 {
+        self.first_seq + index as u64
+    }
+
+    /// Whether it writes the job's description.
+    pub fn describes(&self, job: &JobId) -> bool {
+        self.pending.descriptions.iter().any(|d| d.job == *job)
+    }
+
+    /// Whether it writes this part of the job.
+    pub fn has_part(&self, job: &JobId, part: u32) -> bool {
+        self.pending.parts.iter().any(|p| p.part == part && p.job == *job)
+    }
+
+    /// Whether it says that the job is over.
+    pub fn ends(&self, job: &JobId) -> bool {
+        let pending = &self.pending;
+        pending.completed.contains(job) || pending.ended.contains(job) || pending.withdrawn.contains(job)
+    }
+
+    /// Whether it holds only while this key is as it was.
+    pub fn has_condition(&self, key: &str) -> bool {
+        self.pending.txn.conditions.iter().any(|c| c.key == key)
+    }
+
+    /// Whether it may have one condition more: room is left for those on the pages' own keys.
+    pub fn has_room_for_condition(&self) -> bool {
+        let pages = self.packer.page_limit();
+        self.pending.txn.conditions.len() + pages < self.max_conditions()
+    }
+
+    /// Adds an entry; the number of its page, or `None` if there is no room left.
+    pub fn add(&mut self, entry: Entry) -> Option<u64> {
+        let index = self.packer.add(entry)?;
+        Some(self.page_seq(index))
+    }
+
+    /// Adds a part; the number of its first page, or `None` if there is no room for all of it.
+    pub fn add_part(&mut self, part: Part) -> Option<u64> {
+        let index = self.packer.add_part(part)?;
+        Some(self.page_seq(index))
+    }
+
+    /// Adds a rental request, if there is room.
+    pub fn add_claim(&mut self, claim: String, value: ClaimValue) {
+        if let Some(page) = self.add(Entry::Claim(claim.clone(), value)) {
+            self.pending.claims.push(WrittenClaim { claim, page });
+        }
+    }
+
+    /// Adds the end of a job: its final phase, on condition that its key is as it was. False
+    /// if there is no room left for it, with the pages there are and the one that says so.
+    pub fn add_end(&mut self, job: &JobId, stamp: u64, phase: Phase) -> bool {
+        let over = Entry::Over(job.to_string());
+        let pages = self.packer.pages_with(entry_bytes(&over));
+        if !self.has_room_for_end(pages) {
+            return false;
+        }
+        self.packer.raise_budget(pages);
+        if self.packer.add(over).is_none() {
+            return false;
+        }
+        let value = to_value(&JobValue { phase, spec: None });
+        self.pending.put(keys::job(job), stamp, value);
+        true
+    }
+
+    /// Whether one change and one condition more fit beside those of so many pages.
+    fn has_room_for_end(&self, pages: usize) -> bool {
+        let changes = self.pending.txn.changes.len() + 1 + pages;
+        let conditions = self.pending.txn.conditions.len() + 1 + pages;
+        changes <= self.max_changes && conditions <= self.max_conditions() && pages <= self.packer.page_limit()
+    }
+}
--- a/tests/log_pages.rs
+++ b/tests/log_pages.rs
@@ -2,6 +2,7 @@
 //! limits of a page and of a transaction.
 
 use glenhaven::bookkeeping::records::{ClaimValue, Entry, Page, Part, PlacementRow};
+use glenhaven::coordination::commit::compaction::{extra_pages, pages_allowed};
 use glenhaven::coordination::commit::packing::PagePacker;
 use glenhaven::coordination::commit::replay::{FreeSlot, Replay, StoredPage};
 use glenhaven::protocol::json_size;
@@ -311,3 +312,24 @@
     assert_eq!(replay.claims.keys().collect::<Vec<_>>(), ["c-2"]);
     assert_eq!(replay.claims["c-2"], (2, claim(3)));
 }
+
+#[test]
+fn as_many_pages_are_kept_as_what_is_open_takes_three_times() {
+    let large = 32 * 1024;
+    assert_eq!(
+        pages_allowed(large, 0, 0),
+        48,
+        "at least so many, however little is open"
+    );
+    assert_eq!(pages_allowed(VALUE_BYTES, 0, 0), 128, "or 256 KiB in small ones");
+    assert_eq!(pages_allowed(0, 0, 0), 256, "a value without a size counts as 1 KiB");
+    assert_eq!(pages_allowed(VALUE_BYTES, 1000, 20_000), 3 * (1_200_000 / 2048));
+}
+
+#[test]
+fn compaction_opens_pages_only_when_it_is_behind() {
+    assert_eq!(extra_pages(0, 20), 0);
+    assert_eq!(extra_pages(1, 20), 2);
+    assert_eq!(extra_pages(47, 20), 2);
+    assert_eq!(extra_pages(48, 20), 20);
+}
