Commands are built from the records when they leave; a queued start is a reason, not a command

Cause: a start queued behind an unanswered direct message was a finished command.

Change: each machine has an outbox of reasons; workers/outbox.rs builds each command from the record at the instant at which the message leaves and notes the token there. A record for which nothing was sent is not proven void by a token, and is freed without a word when it is stopped, its job over or its machine given up. Starts of jobs that this controller knows to be cancelled don't leave, directly, in answers or handed on for the leader. Several attempts at one task in a report are told apart (the last one listed hid the others). A repeated submission of a job that waits for others is answered after all news.

--- a/src/coordination/book.rs
+++ b/src/coordination/book.rs
@@ -2,13 +2,14 @@
 
 use super::commit::Committer;
 use super::pools::{ClassKey, Estimate};
+use super::workers::Outbox;
 use super::{JobId, Shared, Site};
 use crate::bookkeeping::keys;
 use crate::bookkeeping::records::{from_value, restored, Accepted, JobValue};
 use crate::protocol::peer::Progress;
 use crate::protocol::store::Event;
 use crate::protocol::users::{Phase, Priority, Shape, Spec};
-use crate::protocol::workers::{Cause, Order, TaskPhase};
+use crate::protocol::workers::{Cause, TaskPhase};
 use crate::time::Micros;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -51,10 +52,11 @@
     pub attempt: u64,
     pub machine: MachineId,
     pub session: u64,
-    /// The term under which a start was last sent or may have been.
+    /// The highest term under which a start was sent or may have been.
     pub fence: u64,
     pub stage: Stage,
-    /// Whether this process has sent a start, or an earlier leader may have.
+    /// Whether this process has sent a start, directly or in an answer, or an earlier leader may
+    /// have.
     pub sent: bool,
     /// Asked to stop, with this grace in seconds.
     pub stop: Option<f64>,
@@ -337,14 +339,8 @@
     pub idle_since: Option<Micros>,
     /// An outcome was recorded: the exited task may be forgotten.
     pub to_forget: bool,
-    /// Starts whose sending was not answered: task, attempt, and fence.
-    pub in_doubt: BTreeMap<(String, u64), u64>,
-    /// Starts given in the answer to its last report: the answer may be on its way until
-    /// the next report, which is sent when it has come or was given up.
-    pub answered: BTreeSet<(String, u64)>,
-    /// Orders to be sent straight away.
-    pub urgent: Vec<Order>,
-    pub flying: Option<u64>,
+    /// What it is to be sent, and which starts may be on their way to it.
+    pub outbox: Outbox,
     /// Jobs whose tasks failed here lately, and how many of them; doubted
     /// machines get nothing new.
     pub faults: BTreeMap<JobId, u32>,
@@ -425,8 +421,8 @@
     pub kinds: Vec<Kind>,
     /// Which machines have an image.
     pub image_at: BTreeMap<Rc<str>, BTreeSet<MachineId>>,
-    /// Machines with orders to be sent straight away.
-    pub urgent: BTreeSet<MachineId>,
+    /// Machines whose outbox is not empty.
+    pub outboxes: BTreeSet<MachineId>,
     /// Helper slots: cores, and GPUs.
     pub helpers: [u32; 2],
     pub committer: Committer,
@@ -499,7 +495,7 @@
             pools: BTreeMap::new(),
             kinds: vec![],
             image_at: BTreeMap::new(),
-            urgent: BTreeSet::new(),
+            outboxes: BTreeSet::new(),
             next_room: now,
             last_schedule: Micros::ZERO,
             helpers: [0, 0],
@@ -682,16 +678,13 @@
             placement.stop_at = now;
         }
         placement.stop = Some(grace_s);
-        if placement.stage != Stage::Committing {
-            let order = Order::Stop {
-                task: format!("{id}/{task}"),
-                attempt: placement.attempt,
-                grace_s,
-            };
-            if let Some(machine) = self.machines.get_mut(&placement.machine) {
-                machine.urgent.push(order);
-                self.urgent.insert(machine.name.clone());
-            }
+        match (placement.stage, placement.sent) {
+            // Its start is being recorded, and will not be sent.
+            (Stage::Committing, _) => {}
+            // Nothing was ever sent for this record, and only this leadership could have: it is
+            // void without a word from the machine.
+            (Stage::Sent, false) => self.free(&id.into(), task, now),
+            _ => self.queue_stop(&id.into(), task),
         }
     }
 
@@ -728,7 +721,7 @@
             self.gone.pop_first();
         }
         self.drop_images(name);
-        self.urgent.remove(name);
+        self.outboxes.remove(name);
         if let Some(machine) = self.machines.remove(name) {
             for (job, task) in machine.tasks {
                 self.free(&job, task, now);
--- a/src/coordination/commit/outcome.rs
+++ b/src/coordination/commit/outcome.rs
@@ -7,7 +7,6 @@
 use super::transaction::{PendingTransaction, WrittenPart, WrittenStart};
 use super::{Committer, Ends, MAX_PAGES};
 use crate::bookkeeping::keys;
-use crate::protocol::workers::Order;
 use crate::time::Micros;
 use std::cmp::Reverse;
 
@@ -187,13 +186,7 @@
             self.free(&id, task, now);
             return;
         }
-        placement.sent = true;
-        let name = placement.machine.clone();
-        if let Some(machine) = self.machines.get_mut(&name) {
-            let task = format!("{id}/{task}");
-            machine.urgent.push(Order::Start { task, attempt });
-            self.urgent.insert(name);
-        }
+        self.queue_start(&id, task);
     }
 
     /// An array is recorded as done; its machines may forget its tasks.
--- a/src/coordination/deaf.rs
+++ b/src/coordination/deaf.rs
@@ -56,12 +56,15 @@
     pub fn ask_the_deaf(&mut self, sh: &mut Shared, now: Micros) {
         let fence = self.term;
         let due = |m: &&mut Machine| {
-            m.moves >= ASKED && m.state == MachineState::Up && m.flying.is_none() && now.since(m.asked_at) > AGAIN
+            m.moves >= ASKED
+                && m.state == MachineState::Up
+                && m.outbox.in_flight.is_none()
+                && now.since(m.asked_at) > AGAIN
         };
         for m in self.machines.values_mut().filter(due).take(AT_ONCE) {
             m.asked_at = now;
             let id = sh.id();
-            m.flying = Some(id);
+            m.outbox.in_flight = Some(id);
             let sent = SentDirect {
                 machine: m.name.clone(),
                 orders: vec![],
--- a/src/coordination/desk/accept.rs
+++ b/src/coordination/desk/accept.rs
@@ -150,6 +150,12 @@
             self.learn_accepted(*spec, revision, true);
             let phase = self.known.get(&job).map_or(Phase::Pending, |k| k.phase);
             let phase = self.final_phase(&job).unwrap_or(phase);
+            if !phase.is_final() && self.waits(&job) {
+                // Another node may have accepted it before, and told its user since that it is
+                // withdrawn with one before it: all news tell.
+                self.to_sync.extend(self.submits.remove(&job).unwrap_or_default());
+                continue;
+            }
             for id in self.submits.remove(&job).unwrap_or_default() {
                 if let Some(pending) = self.pending.remove(&id) {
                     self.waits.record(sh.now.since(pending.at));
--- a/src/coordination/machines.rs
+++ b/src/coordination/machines.rs
@@ -1,6 +1,7 @@
 //! What a machine is before anything is known of it.
 
 use super::book::{Machine, MachineState};
+use super::workers::Outbox;
 use crate::time::Micros;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -38,10 +39,7 @@
             room: None,
             idle_since: None,
             to_forget: false,
-            in_doubt: BTreeMap::new(),
-            answered: BTreeSet::new(),
-            urgent: vec![],
-            flying: None,
+            outbox: Outbox::default(),
             faults: BTreeMap::new(),
             doubted_since: None,
             doubted_until: Micros::ZERO,
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -594,7 +594,9 @@
                 }
             }
             PeerMessage::Report { node, id, report } => self.on_passed(node, id, report),
-            PeerMessage::Answered { id, orders } => self.care.answered(&mut self.sh, &self.desk, id, orders),
+            PeerMessage::Answered { id, orders } => {
+                self.care.answered(&mut self.sh, &self.lead, &self.desk, id, orders)
+            }
             PeerMessage::Inquire { node, round, seen } => self.on_inquire(node, round, seen),
             PeerMessage::Vouched {
                 node,
@@ -716,7 +718,7 @@
         let now = self.sh.now;
         let carry = &self.carry;
         let reached = |node: &str| carry.reaches(node, now);
-        leader.flush_direct(&mut self.sh, &self.lead, reached);
+        leader.flush_outboxes(&mut self.sh, &self.lead, &self.desk, reached);
     }
 
     /// Lets a scenario look at who leads.
--- a/src/coordination/workers/caretaker.rs
+++ b/src/coordination/workers/caretaker.rs
@@ -1,5 +1,6 @@
 //! What a controller that does not lead remembers of workers, and how it answers alone.
 
+use super::outbox::starts_cancelled;
 use super::parse_task;
 use crate::bookkeeping::keys;
 use crate::bookkeeping::records::{to_value, Care};
@@ -9,7 +10,7 @@
 use crate::coordination::store_queue::Urgency;
 use crate::coordination::{times, Shared, Site, Wait};
 use crate::protocol::store::{Change, StoreRequest, Txn};
-use crate::protocol::workers::{Orders, Report, TaskPhase};
+use crate::protocol::workers::{Order, Orders, Report, TaskPhase};
 use crate::protocol::{json_size, to_cbor};
 use crate::settings::Workers;
 use crate::time::Micros;
@@ -56,8 +57,13 @@
     }
 
     /// The leader's answer to a report that was passed on.
-    /// What this node knows to be cancelled, and the leader may not, is stopped with it.
-    pub fn answered(&mut self, sh: &mut Shared, desk: &Desk, id: u64, mut orders: Orders) {
+    /// What this node knows to be cancelled, and the leader may not, is stopped with it and not
+    /// started. Of a leader that was deposed meanwhile nothing is started.
+    pub fn answered(&mut self, sh: &mut Shared, lead: &Leadership, desk: &Desk, id: u64, mut orders: Orders) {
+        let deposed = orders.fence < lead.term();
+        let starts = |command: &Order| matches!(command, Order::Start { .. });
+        let void = |command: &Order| starts_cancelled(desk, command) || (deposed && starts(command));
+        orders.orders.retain(|command| !void(command));
         if let Some(f) = self.forwarded.remove(&id) {
             self.kept.remove(&f.report.machine);
             renewal::add_stops(desk, &f.report, &mut orders.orders);
--- a/src/coordination/workers/heartbeats.rs
+++ b/src/coordination/workers/heartbeats.rs
@@ -1,7 +1,8 @@
 //! Ways of a worker's report: here, to the leader, and to a new leader from memory.
 
 use super::caretaker::{answer_alone, Forwarded};
-use super::commands::DIRECT_TIMEOUT;
+use super::direct::DIRECT_TIMEOUT;
+use super::outbox::{starts_cancelled, Leave};
 use super::parse_task;
 use crate::coordination::book::EarlyReport;
 use crate::coordination::leadership::Role;
@@ -9,7 +10,6 @@
 use crate::coordination::{times, Core, DirectAnswer, Effect};
 use crate::protocol::peer::{Link, PeerMessage};
 use crate::protocol::to_cbor;
-use crate::protocol::users::Phase;
 use crate::protocol::workers::{Direct, Elsewhere, Order, Orders, Report, TaskPhase};
 use crate::time::Micros;
 use glenhaven_links::{Host, Sure};
@@ -244,7 +244,7 @@
         let Some(leader) = self.leader.as_mut() else {
             return renewal::dropped();
         };
-        let orders = leader.on_report(&self.site, report, via, now, now);
+        let due = leader.take_heartbeat(&self.site, report, via, now, now);
         if leader.must_lapse(&self.site, report, now) {
             tracing::warn!(
                 machine = report.machine,
@@ -252,6 +252,13 @@
             );
             return renewal::dropped();
         }
+        let name = report.machine.as_str().into();
+        let leave = Leave {
+            fence: self.lead.term(),
+            desk: &self.desk,
+            now,
+        };
+        let orders = leader.commands_in_answer(&name, due, &leave);
         let answer = self
             .vouchers
             .renewal(&self.lead, &self.desk, &self.site, report, orders, now);
@@ -327,20 +334,15 @@
         let now = self.sh.now;
         let via = (node != self.site.settings.node).then_some(node);
         if let Some(leader) = self.leader.as_mut() {
-            leader.on_report(&self.site, report, via, at, now);
+            leader.take_heartbeat(&self.site, report, via, at, now);
         }
     }
 
-    /// Whether this task's job is known here to be cancelled.
-    fn is_cancelled(&self, task: &str) -> bool {
-        parse_task(task).is_some_and(|(job, _)| self.desk.phase(job) == Some(Phase::Cancelled))
-    }
-
     /// Sends commands to a worker for the leader.
     pub(in crate::coordination) fn relay(&mut self, node: String, id: u64, addr: String, body: Direct) {
         // From a leader that was deposed meanwhile, or held up on the way until its job was
         // cancelled.
-        let cancelled = |o: &Order| matches!(o, Order::Start { task, .. } if self.is_cancelled(task));
+        let cancelled = |command: &Order| starts_cancelled(&self.desk, command);
         if body.fence < self.lead.term() || body.orders.iter().any(cancelled) {
             let answer = DirectAnswer::NotSent;
             let message = PeerMessage::Relayed { id, answer };
--- a/src/coordination/workers/machines.rs
+++ b/src/coordination/workers/machines.rs
@@ -1,31 +1,20 @@
 //! What the leader looks after between reports: machines that are not heard.
 
 use super::caretaker::PUBLISH;
-use super::commands::{SentDirect, RELAY_LIMIT};
+use super::direct::{SentDirect, RELAY_LIMIT};
 use crate::bookkeeping::keys;
-use crate::coordination::book::{Leader, Machine, MachineId};
+use crate::coordination::book::{Leader, Machine};
 use crate::coordination::commit::LeaderWait;
 use crate::coordination::store_queue::Urgency;
 use crate::coordination::{DirectAnswer, Shared, Site, Wait};
 use crate::protocol::store::StoreRequest;
-use crate::protocol::workers::Order;
 use crate::time::Micros;
 
 impl Leader {
     /// Looks after machines between reports.
     pub fn tick_machines(&mut self, sh: &mut Shared, site: &Site, sure: bool) {
         let now = sh.now;
-        for report in std::mem::take(&mut self.direct_reports) {
-            let name: MachineId = report.machine.as_str().into();
-            let via = self.machines.get(&name).and_then(|m| m.via.clone());
-            let orders = self.take_report(site, &report, via.as_deref(), now, now);
-            if let Some(m) = self.machines.get_mut(&name) {
-                // Starts go again with the next report's answer if need be.
-                m.urgent
-                    .extend(orders.into_iter().filter(|o| matches!(o, Order::Forget { .. })));
-                self.urgent.insert(name);
-            }
-        }
+        self.take_direct_reports(site, now);
         if now < self.next_machines {
             return;
         }
--- /dev/null
+++ b/src/coordination/workers/outbox.rs
@@ -0,0 +1,297 @@
+//! The outbox of each machine: why it is to be sent commands, and the commands themselves.
+//!
+//! A command never waits in a queue. What waits is its reason: the record of a task that is to
+//! start or to stop, or an attempt that has ended and may be forgotten. Commands are built from
+//! the records as they stand at the instant at which a message leaves, directly or as the answer
+//! to a report, and a start notes in its record at that instant the fencing token under which it
+//! leaves. If the reason is gone by then (the record was freed, the task stopped, its job is over,
+//! the machine began a new session or is being released), there is no command. So a record's
+//! `fence` is at all times the highest token under which any start of it has left, and a report
+//! with a higher one that doesn't list the task proves that no start of it will ever be executed.
+
+use super::direct::SentDirect;
+use super::parse_task;
+use crate::coordination::book::{Leader, Machine, MachineId, MachineState, Stage};
+use crate::coordination::desk::Desk;
+use crate::coordination::renewal::ORDERS;
+use crate::coordination::JobId;
+use crate::protocol::users::Phase;
+use crate::protocol::workers::Order;
+use crate::time::Micros;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The instant at which a message leaves.
+pub struct Leave<'a> {
+    /// The token under which it leaves.
+    pub fence: u64,
+    /// What this controller has confirmed to users, which may be more than the records say yet.
+    pub desk: &'a Desk,
+    pub now: Micros,
+}
+
+/// A task of an open job.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TaskRef {
+    pub job: JobId,
+    pub task: u32,
+}
+
+/// One attempt at a task, as reports and commands name it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Attempt {
+    pub task: String,
+    pub number: u64,
+}
+
+/// Reasons to command a machine. None of them is a command yet.
+#[derive(Clone, Debug, Default)]
+pub struct Due {
+    /// Tasks that were asked to stop.
+    pub stops: BTreeSet<TaskRef>,
+    /// Attempts that a report lists and no record explains.
+    pub strangers: BTreeSet<Attempt>,
+    /// Tasks whose start is recorded and may have to be sent.
+    pub starts: BTreeSet<TaskRef>,
+    /// Attempts that have ended.
+    pub forgets: BTreeSet<Attempt>,
+}
+
+impl Due {
+    /// Whether nothing is due.
+    pub fn is_empty(&self) -> bool {
+        self.stops.is_empty() && self.strangers.is_empty() && self.starts.is_empty() && self.forgets.is_empty()
+    }
+}
+
+/// Whether a job is known to be cancelled.
+fn is_cancelled(desk: &Desk, job: &str) -> bool {
+    desk.phase(job) == Some(Phase::Cancelled)
+}
+
+/// Whether a command starts a task of a job that is known to be cancelled.
+pub(super) fn starts_cancelled(desk: &Desk, command: &Order) -> bool {
+    match command {
+        Order::Start { task, .. } => parse_task(task).is_some_and(|(job, _)| is_cancelled(desk, job)),
+        _ => false,
+    }
+}
+
+/// What one machine is to be sent, and which starts may be on their way to it.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    /// Reasons for the next direct message.
+    pub due: Due,
+    /// The direct message that has not been answered yet.
+    pub in_flight: Option<u64>,
+    /// Starts whose direct message was not answered, and the token under which they left.
+    unanswered: BTreeMap<Attempt, u64>,
+    /// Starts given in the answer to the last report: the answer may be on its way until the
+    /// next report, which is sent when it has come or was given up.
+    in_answer: BTreeSet<Attempt>,
+}
+
+impl Outbox {
+    /// The worker has killed and forgotten everything: commands for its last session are refused.
+    pub fn session_ended(&mut self) {
+        self.due = Due::default();
+        self.unanswered.clear();
+    }
+
+    /// The worker refuses every message with a lower token than this one.
+    pub fn refuses_below(&mut self, fence: u64) {
+        self.unanswered.retain(|_, sent_under| *sent_under >= fence);
+    }
+
+    /// The worker's next report: the answer to the last one has come, or never will.
+    pub fn answer_arrived(&mut self) {
+        self.in_answer.clear();
+    }
+
+    /// A direct message was not answered: it may be executed at any time.
+    pub fn doubt(&mut self, commands: &[Order], fence: u64) {
+        for command in commands {
+            if let Order::Start { task, attempt } = command {
+                let attempt = Attempt {
+                    task: task.clone(),
+                    number: *attempt,
+                };
+                self.unanswered.insert(attempt, fence);
+            }
+        }
+    }
+
+    /// Whether a start of this attempt was sent and may not have arrived yet.
+    fn may_still_start(&self, attempt: &Attempt, direct: &BTreeMap<u64, SentDirect>) -> bool {
+        let starts = |command: &Order| match command {
+            Order::Start { task, attempt: number } => *task == attempt.task && *number == attempt.number,
+            _ => false,
+        };
+        let message = self.in_flight.and_then(|id| direct.get(&id));
+        let in_flight = message.is_some_and(|m| m.orders.iter().any(starts));
+        in_flight || self.unanswered.contains_key(attempt) || self.in_answer.contains(attempt)
+    }
+}
+
+impl Machine {
+    /// Whether it is to be kept: nothing starts on a machine that is about to be released.
+    fn stays(&self) -> bool {
+        self.state != MachineState::Doomed && self.release_sent.is_none()
+    }
+}
+
+impl Leader {
+    /// The start of a recorded placement is to be sent.
+    pub fn queue_start(&mut self, id: &JobId, task: u32) {
+        self.queue(id, task, |due, task| {
+            due.starts.insert(task);
+        });
+    }
+
+    /// A task that was asked to stop is to be told at once.
+    pub fn queue_stop(&mut self, id: &JobId, task: u32) {
+        self.queue(id, task, |due, task| {
+            due.stops.insert(task);
+        });
+    }
+
+    fn queue(&mut self, id: &JobId, task: u32, add: impl FnOnce(&mut Due, TaskRef)) {
+        let placement = self.jobs.get(id).and_then(|job| job.placed.get(&task));
+        let Some(name) = placement.map(|p| p.machine.clone()) else {
+            return;
+        };
+        let Some(machine) = self.machines.get_mut(&name) else {
+            return;
+        };
+        let job = id.clone();
+        add(&mut machine.outbox.due, TaskRef { job, task });
+        self.outboxes.insert(name);
+    }
+
+    /// Commands in the answer to a machine's report, which says what is due.
+    pub fn commands_in_answer(&mut self, name: &MachineId, mut due: Due, leave: &Leave) -> Vec<Order> {
+        let commands = self.build_commands(name, &mut due, leave);
+        let Some(machine) = self.machines.get_mut(name) else {
+            return commands;
+        };
+        for command in &commands {
+            let Order::Start { task, attempt } = command else {
+                continue;
+            };
+            let attempt = Attempt {
+                task: task.clone(),
+                number: *attempt,
+            };
+            machine.outbox.in_answer.insert(attempt);
+            if let Some((job, task)) = parse_task(task) {
+                let job = job.into();
+                machine.outbox.due.starts.remove(&TaskRef { job, task });
+            }
+        }
+        commands
+    }
+
+    /// Builds commands from the records as they stand; what doesn't fit into one message stays
+    /// due.
+    pub(super) fn build_commands(&mut self, name: &MachineId, due: &mut Due, leave: &Leave) -> Vec<Order> {
+        let mut commands = vec![];
+        while commands.len() < ORDERS {
+            let Some(task) = due.stops.pop_first() else { break };
+            commands.extend(self.stop_command(name, &task));
+        }
+        while commands.len() < ORDERS {
+            let Some(attempt) = due.strangers.pop_first() else {
+                break;
+            };
+            commands.extend(self.stop_stranger(name, attempt));
+        }
+        while commands.len() < ORDERS {
+            let Some(task) = due.starts.pop_first() else { break };
+            commands.extend(self.start_command(name, &task, leave));
+        }
+        while commands.len() < ORDERS {
+            let Some(attempt) = due.forgets.pop_first() else { break };
+            commands.extend(self.forget_command(name, attempt));
+        }
+        commands
+    }
+
+    /// The start of a task, if its record still stands and wants it. The record notes the token.
+    fn start_command(&mut self, name: &MachineId, task: &TaskRef, leave: &Leave) -> Option<Order> {
+        if is_cancelled(leave.desk, &task.job) {
+            // The news of it, which free or stop what is recorded, are moments away.
+            return None;
+        }
+        let machine = self.machines.get(name)?;
+        let (session, stays) = (machine.session, machine.stays());
+        let job = self.jobs.get_mut(&task.job)?;
+        let wanted = job.is_live() && stays;
+        let placement = job.placed.get_mut(&task.task)?;
+        let here = placement.machine == *name && placement.session == session;
+        if !here || placement.stage != Stage::Sent {
+            return None;
+        }
+        if !wanted || placement.stop.is_some() {
+            if !placement.sent {
+                // Nothing was ever sent for this record, and only this leadership could have:
+                // it is void without a word from the machine.
+                self.free(&task.job, task.task, leave.now);
+            }
+            return None;
+        }
+        placement.sent = true;
+        placement.fence = placement.fence.max(leave.fence);
+        Some(Order::Start {
+            task: format!("{}/{}", task.job, task.task),
+            attempt: placement.attempt,
+        })
+    }
+
+    /// A stop of a task that was asked to stop and may be on this machine.
+    fn stop_command(&self, name: &MachineId, task: &TaskRef) -> Option<Order> {
+        let placement = self.jobs.get(&task.job)?.placed.get(&task.task)?;
+        let may_run = matches!(placement.stage, Stage::Sent | Stage::Seen(_)) && placement.sent;
+        if placement.machine != *name || !may_run {
+            return None;
+        }
+        Some(Order::Stop {
+            task: format!("{}/{}", task.job, task.task),
+            attempt: placement.attempt,
+            grace_s: placement.stop?,
+        })
+    }
+
+    /// A stop of an attempt that no record explains.
+    fn stop_stranger(&self, name: &MachineId, attempt: Attempt) -> Option<Order> {
+        if self.has_record(name, &attempt) {
+            return None;
+        }
+        Some(Order::Stop {
+            task: attempt.task,
+            attempt: attempt.number,
+            grace_s: 0.0,
+        })
+    }
+
+    /// Forgets an attempt that ended, unless its outcome has yet to be recorded, or a start of it
+    /// may still be on its way: that start would run the task again.
+    fn forget_command(&self, name: &MachineId, attempt: Attempt) -> Option<Order> {
+        let machine = self.machines.get(name)?;
+        if self.has_record(name, &attempt) || machine.outbox.may_still_start(&attempt, &self.direct) {
+            return None;
+        }
+        Some(Order::Forget {
+            task: attempt.task,
+            attempt: attempt.number,
+        })
+    }
+
+    /// Whether this attempt has a record on this machine, in its present session.
+    pub(super) fn has_record(&self, name: &MachineId, attempt: &Attempt) -> bool {
+        let Some((job, task)) = parse_task(&attempt.task) else {
+            return false;
+        };
+        let placement = self.jobs.get(job).and_then(|job| job.placed.get(&task));
+        let session = self.machines.get(name).map(|machine| machine.session);
+        placement.is_some_and(|p| p.machine == *name && p.attempt == attempt.number && Some(p.session) == session)
+    }
+}
--- a/src/coordination/workers/reports.rs
+++ b/src/coordination/workers/reports.rs
@@ -1,69 +1,81 @@
 //! What a worker's report says of the tasks that the leader has records of.
 
+use super::outbox::{Attempt, Due, TaskRef};
 use super::parse_task;
 use crate::coordination::book::{Leader, Machine, MachineId, MachineState, Stage, TaskState};
-use crate::coordination::renewal::ORDERS;
 use crate::coordination::{times, JobId, Site};
-use crate::protocol::workers::{Cause, Order, Report, TaskPhase};
+use crate::protocol::workers::{Cause, Report, TaskPhase, TaskReport};
 use crate::time::Micros;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+/// A stopped task whose start was never seen is waited for so long before the term is raised.
+const UNSEEN_STOP: Micros = Micros::from_millis(3000);
+
 impl Leader {
-    /// Takes in a report that a worker sent at about `at`, here or to another
-    /// node; returns the orders for its answer.
-    pub fn on_report(
-        &mut self,
-        site: &Site,
-        report: &Report,
-        via: Option<&str>,
-        at: Micros,
-        now: Micros,
-    ) -> Vec<Order> {
+    /// Takes in a heartbeat: a report that a worker sent by itself at about `at`, here or to
+    /// another controller. Says what its answer should command.
+    pub fn take_heartbeat(&mut self, site: &Site, report: &Report, via: Option<&str>, at: Micros, now: Micros) -> Due {
         // A worker has one report on its way at a time: its next one says that the answer to
         // the last has come, or never will.
         let newer = |m: &Machine| (report.session, report.serial) > (m.session, m.serial);
-        if let Some(m) = self.machines.get_mut(report.machine.as_str()).filter(|m| newer(m)) {
-            m.answered.clear();
+        if let Some(machine) = self.machines.get_mut(report.machine.as_str()).filter(|m| newer(m)) {
+            machine.outbox.answer_arrived();
         }
-        let orders = self.take_report(site, report, via, at, now);
-        if let Some(m) = self.machines.get_mut(report.machine.as_str()) {
-            for order in &orders {
-                if let Order::Start { task, attempt } = order {
-                    m.answered.insert((task.clone(), *attempt));
-                }
-            }
-        }
-        orders
+        self.take_report(site, report, via, at, now)
     }
 
-    /// The same of a report that is not a worker's own: it came with the answer to a command,
-    /// and says nothing of the answers to its reports.
-    pub fn take_report(
-        &mut self,
-        site: &Site,
-        report: &Report,
-        via: Option<&str>,
-        at: Micros,
-        now: Micros,
-    ) -> Vec<Order> {
+    /// The same of a report that is not a heartbeat: it came with the answer to a direct message,
+    /// and says nothing of the answers to heartbeats.
+    pub fn take_report(&mut self, site: &Site, report: &Report, via: Option<&str>, at: Micros, now: Micros) -> Due {
         let name: MachineId = report.machine.as_str().into();
-        if self.gone.contains(&name) {
-            return vec![];
+        if !self.is_news(&name, report, now) {
+            return Due::default();
+        }
+        self.take_machine_state(site, &name, report, via, at, now);
+        self.take_notice(&name, report, now);
+        let mut due = Due::default();
+        self.match_records(site, &name, report, now, &mut due);
+        self.note_strangers(&name, report, &mut due);
+        due
+    }
+
+    /// Whether a report says something new of a machine that may still be there. One from a
+    /// machine that nobody expected makes it known.
+    fn is_news(&mut self, name: &MachineId, report: &Report, now: Micros) -> bool {
+        if self.gone.contains(name) {
+            return false;
         }
-        // A token that this leader never gave out: another one leads by now, or nobody ever
-        // gave it. As a proof that starts are refused it would be worth nothing.
         if report.fence > self.term {
-            return vec![];
+            // A token that this leader never gave out: another one leads by now, or nobody ever
+            // gave it. As a proof that starts are refused it would be worth nothing.
+            tracing::warn!(machine = %name, fence = report.fence, term = self.term, "report dropped: its token was never given out here");
+            return false;
         }
         let machine = self.machines.entry(name.clone()).or_insert_with(|| {
-            tracing::info!(machine = report.machine, "a machine that was not expected reports");
+            tracing::info!(machine = %name, "a machine that was not expected reports");
             Machine::unknown(name.clone(), now)
         });
-        if (report.session, report.serial) <= (machine.session, machine.serial) {
-            // A late message: its task list is older than what we know.
-            return vec![];
+        if report.session < machine.session {
+            tracing::warn!(machine = %name, session = report.session, last = machine.session, "report dropped: of an earlier session");
         }
+        // The task list of a late message is older than what is known.
+        (report.session, report.serial) > (machine.session, machine.serial)
+    }
+
+    /// What a report says of the machine itself.
+    fn take_machine_state(
+        &mut self,
+        site: &Site,
+        name: &MachineId,
+        report: &Report,
+        via: Option<&str>,
+        at: Micros,
+        now: Micros,
+    ) {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
         let new_session = report.session > machine.session;
         if at == now {
             machine.listens(via, now);
@@ -82,8 +94,7 @@
         machine.addr.clone_from(&report.addr);
         machine.describe(&report.machine_type, &report.zone, report.spot);
         machine.fence = machine.fence.max(report.fence);
-        let seen_fence = machine.fence;
-        machine.in_doubt.retain(|_, fence| *fence >= seen_fence);
+        machine.outbox.refuses_below(machine.fence);
         if machine.state == MachineState::Booting {
             machine.state = MachineState::Up;
             if let (Some(rented), Some(t)) = (machine.rented_at, site.catalogue.get(&report.machine_type)) {
@@ -91,74 +102,77 @@
                 self.boots.came_up(kind, at.since(rented), t.boot_s, now);
             }
             self.dirty = true;
-            tracing::debug!(
-                machine = report.machine,
-                boot_s = now.since(machine.since).secs(),
-                "machine up"
-            );
+            let boot_s = now.since(machine.since).secs();
+            tracing::debug!(machine = %name, boot_s, "machine up");
         }
         if new_session {
-            machine.in_doubt.clear();
-            machine.urgent.clear();
-            self.drop_images(&name);
+            machine.outbox.session_ended();
+            self.drop_images(name);
             self.dirty = true;
         }
-        let Some(machine) = self.machines.get_mut(&name) else {
-            return vec![];
+    }
+
+    /// The cloud takes the machine back.
+    fn take_notice(&mut self, name: &MachineId, report: &Report, now: Micros) {
+        let Some(notice) = report.notice_s else { return };
+        let Some(machine) = self.machines.get_mut(name).filter(|m| m.taken_at.is_none()) else {
+            return;
         };
-        if let Some(notice) = report.notice_s {
-            if machine.taken_at.is_none() {
-                tracing::debug!(machine = report.machine, notice, "the cloud takes a machine back");
-                machine.taken_at = Some(now + Micros::from_secs(notice));
-                self.dirty = true;
-            }
+        tracing::debug!(machine = %name, notice, "the cloud takes a machine back");
+        machine.taken_at = Some(now + Micros::from_secs(notice));
+        self.dirty = true;
+    }
+
+    /// Compares the records of a machine's tasks with what it lists.
+    fn match_records(&mut self, site: &Site, name: &MachineId, report: &Report, now: Micros, due: &mut Due) {
+        let unnamed = report.tasks.iter().filter(|t| parse_task(&t.task).is_none()).count();
+        if unnamed > 0 {
+            tracing::warn!(machine = %name, unnamed, "a report lists tasks whose names don't parse");
         }
-        let listed: BTreeMap<(&str, u32), &crate::protocol::workers::TaskReport> = report
+        // A machine may list several attempts at one task.
+        let listed: BTreeMap<(&str, u32, u64), &TaskReport> = report
             .tasks
             .iter()
-            .filter_map(|t| parse_task(&t.task).map(|key| (key, t)))
+            .filter_map(|t| parse_task(&t.task).map(|(job, task)| ((job, task, t.attempt), t)))
             .collect();
-        let mut orders = vec![];
+        let Some(machine) = self.machines.get(name) else { return };
         let records: Vec<(JobId, u32)> = machine.tasks.iter().cloned().collect();
         for (id, task) in records {
-            let entry = listed.get(&(&*id, task)).copied();
-            self.match_record(site, &name, &id, task, entry, report, now, &mut orders);
+            let placement = self.jobs.get(&id).and_then(|job| job.placed.get(&task));
+            let Some(attempt) = placement.map(|p| p.attempt) else {
+                continue;
+            };
+            let entry = listed.get(&(&*id, task, attempt)).copied();
+            let record = TaskRef { job: id, task };
+            self.match_record(site, name, &record, entry, report, now, due);
         }
-        // What is listed without a record.
+    }
+
+    /// What is listed without a record: what runs is stopped, what has ended is forgotten.
+    fn note_strangers(&mut self, name: &MachineId, report: &Report, due: &mut Due) {
         let mut strangers = 0;
-        for t in &report.tasks {
-            let known = parse_task(&t.task).is_some_and(|(job, task)| {
-                self.jobs
-                    .get(job)
-                    .and_then(|j| j.placed.get(&task))
-                    .is_some_and(|p| p.machine == name && p.attempt == t.attempt && p.session == report.session)
-            });
-            if known || orders.len() >= ORDERS {
+        for listed in &report.tasks {
+            let attempt = Attempt {
+                task: listed.task.clone(),
+                number: listed.attempt,
+            };
+            if self.has_record(name, &attempt) {
                 continue;
             }
-            if t.phase == TaskPhase::Exited {
-                if self.may_forget(&name, &t.task, t.attempt) {
-                    orders.push(Order::Forget {
-                        task: t.task.clone(),
-                        attempt: t.attempt,
-                    });
-                }
+            if listed.phase == TaskPhase::Exited {
+                due.forgets.insert(attempt);
             } else {
                 strangers += 1;
-                orders.push(Order::Stop {
-                    task: t.task.clone(),
-                    attempt: t.attempt,
-                    grace_s: 0.0,
-                });
+                due.strangers.insert(attempt);
             }
         }
-        if let Some(machine) = self.machines.get_mut(&name) {
-            if machine.strangers != strangers {
-                self.dirty = true;
-            }
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        if machine.strangers != strangers {
             machine.strangers = strangers;
+            self.dirty = true;
         }
-        orders
     }
 
     /// What workers reported to a node that this one can't hear, by way of the state
@@ -170,146 +184,133 @@
                 continue;
             };
             let (via, at) = (m.via.clone(), m.last_report);
-            self.on_report(site, report, via.as_deref(), at, now);
+            self.take_heartbeat(site, report, via.as_deref(), at, now);
         }
     }
 
-    /// Forgetting while a start of the same attempt may be on its way would let
-    /// that start run the task again.
-    pub(super) fn may_forget(&self, machine: &MachineId, task: &str, attempt: u64) -> bool {
-        let flying = self.direct.values().any(|d| {
-            d.machine == *machine
-                && d.orders
-                    .iter()
-                    .any(|o| matches!(o, Order::Start { task: t, attempt: a } if t == task && *a == attempt))
-        });
-        let key = (task.to_string(), attempt);
-        let doubted = self
-            .machines
-            .get(machine)
-            .is_some_and(|m| m.in_doubt.contains_key(&key) || m.answered.contains(&key));
-        !flying && !doubted
-    }
-
-    /// Compares one record with a report.
+    /// Compares one record with what the report lists of its attempt.
     #[allow(clippy::too_many_arguments)]
     fn match_record(
         &mut self,
         site: &Site,
         name: &MachineId,
-        id: &JobId,
-        task: u32,
-        entry: Option<&crate::protocol::workers::TaskReport>,
+        record: &TaskRef,
+        entry: Option<&TaskReport>,
         report: &Report,
         now: Micros,
-        orders: &mut Vec<Order>,
+        due: &mut Due,
     ) {
-        let term = self.term;
-        let Some(job) = self.jobs.get_mut(id) else { return };
+        let (id, task) = (&record.job, record.task);
+        let Some(job) = self.jobs.get(id) else { return };
         let live = job.is_live();
-        let (image, image_gb) = (job.spec.image.clone(), job.spec.image_gb);
-        let Some(p) = job.placed.get_mut(&task) else { return };
-        if p.stage == Stage::Committing {
+        let Some(placement) = job.placed.get(&task) else { return };
+        if placement.stage == Stage::Committing {
             return;
         }
-        if report.session > p.session {
-            // The session that the record was made for is over, and everything
-            // of it was killed.
+        if report.session > placement.session {
+            // The session that the record was made for is over, and everything of it was killed.
             tracing::debug!(job = %id, task, machine = %name, "lost with its session");
-            self.free(id, task, now);
-            return;
+            return self.free(id, task, now);
         }
-        let text = format!("{id}/{task}");
-        match entry.filter(|e| e.attempt == p.attempt) {
-            Some(e) if e.phase == TaskPhase::Exited => {
-                let cause = e.cause.unwrap_or(Cause::Other);
-                let attempt = p.attempt;
-                let first = !matches!(p.stage, Stage::Exited(_));
-                p.stage = Stage::Exited(cause);
-                let helper = p.helper;
-                let cancelled = job.cancelled.is_some();
-                if first {
-                    job.vacates(helper);
-                    if let Some(m) = self.machines.get_mut(name) {
-                        m.take(&job.spec, -1.0);
-                    }
-                }
-                if first {
-                    self.exited(site, name, id, task, cause, now);
-                }
-                // A completion stays on the machine until it is recorded.
-                if cause != Cause::Done || cancelled {
-                    if self.may_forget(name, &text, attempt) && orders.len() < ORDERS {
-                        orders.push(Order::Forget { task: text, attempt });
-                    }
-                    self.free(id, task, now);
-                }
+        match entry {
+            Some(entry) if entry.phase == TaskPhase::Exited => {
+                self.record_exit(site, name, record, entry.cause.unwrap_or(Cause::Other), now);
             }
-            Some(e) => {
-                if e.phase == TaskPhase::Running && p.running_since.is_none() {
-                    p.running_since = Some(now);
-                    if !p.restored && !job.ageless {
-                        let (s, waited) = (&job.spec, now.since(job.arrived));
-                        self.account.started(&s.class, &s.team, s.cpus, waited, now);
-                    }
-                    if !p.restored && !job.spec.needs.is_empty() {
-                        self.chained.began(now.since(job.arrived));
-                    }
-                    tracing::debug!(
-                        job = %id,
-                        task,
-                        class = job.spec.class,
-                        machine = %name,
-                        try_ = p.attempt,
-                        waited_s = now.since(job.arrived).secs(),
-                        placed_s = now.since(p.since).secs(),
-                        "task runs"
-                    );
-                }
-                if !matches!(p.stage, Stage::Exited(_)) {
-                    p.stage = Stage::Seen(e.phase);
-                }
-                if let Some(grace_s) = p.stop {
-                    if orders.len() < ORDERS {
-                        orders.push(Order::Stop {
-                            task: text,
-                            attempt: p.attempt,
-                            grace_s,
-                        });
-                    }
-                }
-                if e.phase == TaskPhase::Running {
-                    let cache = site
-                        .catalogue
-                        .get(&report.machine_type)
-                        .map_or(f64::INFINITY, |t| t.cache_gb);
-                    self.use_image(name, &image, image_gb, cache);
-                }
-            }
-            None if report.fence > p.fence => {
-                // Starts sent under the record's term are refused from here on,
-                // and the machine does not have the task.
+            Some(entry) => self.record_seen(site, name, record, entry.phase, report, now, due),
+            None if placement.sent && report.fence > placement.fence => {
+                // Every start of it left under a lower token, and is refused from here on; the
+                // machine does not have the task.
                 tracing::debug!(job = %id, task, machine = %name, "not on its machine");
                 self.free(id, task, now);
             }
-            None if p.stop.is_some() || !live => {
-                if now.since(p.stop_at) > Micros::from_secs(3.0) {
+            None if placement.stop.is_some() || !live => {
+                if placement.sent && now.since(placement.stop_at) > UNSEEN_STOP {
                     self.new_term = Some("a start that is no longer wanted may still be on its way");
                 }
             }
-            None if matches!(p.stage, Stage::Sent) && p.sent => {
-                if orders.len() < ORDERS {
-                    p.fence = term;
-                    orders.push(Order::Start {
-                        task: text,
-                        attempt: p.attempt,
-                    });
-                }
+            None if placement.stage == Stage::Sent => {
+                due.starts.insert(record.clone());
             }
             None => {}
         }
     }
 
+    /// The machine has reported that the task exited.
+    fn record_exit(&mut self, site: &Site, name: &MachineId, record: &TaskRef, cause: Cause, now: Micros) {
+        let (id, task) = (&record.job, record.task);
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(placement) = job.placed.get_mut(&task) else {
+            return;
+        };
+        let first = !matches!(placement.stage, Stage::Exited(_));
+        placement.stage = Stage::Exited(cause);
+        let helper = placement.helper;
+        let cancelled = job.cancelled.is_some();
+        if first {
+            job.vacates(helper);
+            if let Some(machine) = self.machines.get_mut(name) {
+                machine.take(&job.spec, -1.0);
+            }
+            self.exited(site, name, id, task, cause, now);
+        }
+        // A completion stays on the machine until it is recorded.
+        if cause != Cause::Done || cancelled {
+            self.free(id, task, now);
+        }
+    }
+
+    /// The machine has the task.
+    #[allow(clippy::too_many_arguments)]
+    fn record_seen(
+        &mut self,
+        site: &Site,
+        name: &MachineId,
+        record: &TaskRef,
+        phase: TaskPhase,
+        report: &Report,
+        now: Micros,
+        due: &mut Due,
+    ) {
+        let (id, task) = (&record.job, record.task);
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let (image, image_gb) = (job.spec.image.clone(), job.spec.image_gb);
+        let Some(placement) = job.placed.get_mut(&task) else {
+            return;
+        };
+        if phase == TaskPhase::Running && placement.running_since.is_none() {
+            placement.running_since = Some(now);
+            let waited = now.since(job.arrived);
+            if !placement.restored && !job.ageless {
+                let spec = &job.spec;
+                self.account.started(&spec.class, &spec.team, spec.cpus, waited, now);
+            }
+            if !placement.restored && !job.spec.needs.is_empty() {
+                self.chained.began(waited);
+            }
+            tracing::debug!(
+                job = %id,
+                task,
+                class = job.spec.class,
+                machine = %name,
+                try_ = placement.attempt,
+                waited_s = waited.secs(),
+                placed_s = now.since(placement.since).secs(),
+                "task runs"
+            );
+        }
+        if !matches!(placement.stage, Stage::Exited(_)) {
+            placement.stage = Stage::Seen(phase);
+        }
+        if placement.stop.is_some() {
+            due.stops.insert(record.clone());
+        }
+        if phase == TaskPhase::Running {
+            let machine_type = site.catalogue.get(&report.machine_type);
+            let cache_gb = machine_type.map_or(f64::INFINITY, |t| t.cache_gb);
+            self.use_image(name, &image, image_gb, cache_gb);
+        }
+    }
+
     /// A task exited; what it means for its job and its machine.
     fn exited(&mut self, site: &Site, name: &MachineId, id: &JobId, task: u32, cause: Cause, now: Micros) {
         let chunk_tasks = self.chunk_tasks;
--- a/tests/sim/lives.rs
+++ b/tests/sim/lives.rs
@@ -4,6 +4,8 @@
 use super::script::Script;
 use glenhaven::bookkeeping::records::{to_value, Term};
 use glenhaven::coordination::book::{Job, Leader, Placement, Stage, TaskState};
+use glenhaven::coordination::desk::Desk;
+use glenhaven::coordination::workers::{Due, Leave};
 use glenhaven::coordination::{Command, Core, Effect, Site};
 use glenhaven::protocol::peer::{Link, PeerMessage};
 use glenhaven::protocol::store::{Row, Rows, StoreAnswer, StoreRequest};
@@ -184,25 +186,34 @@
         report(serial, phase.map(task).into_iter().collect())
     };
     let mut leader = Leader::new(1, 1, at(0));
-    assert!(leader
-        .on_report(&site, &report(1, None), None, at(10), at(10))
-        .is_empty());
+    let desk = Desk::new("node-0");
+    let commands = |leader: &mut Leader, due: Due, ms: u64| {
+        let leave = Leave {
+            fence: 1,
+            desk: &desk,
+            now: at(ms),
+        };
+        leader.commands_in_answer(&"n-000001".into(), due, &leave)
+    };
+    let due = leader.take_heartbeat(&site, &report(1, None), None, at(10), at(10));
+    assert!(commands(&mut leader, due, 10).is_empty());
     place(&mut leader, at(20));
     let starts = |orders: &[Order]| orders.iter().filter(|o| matches!(o, Order::Start { .. })).count();
     let forgets = |orders: &[Order]| orders.iter().filter(|o| matches!(o, Order::Forget { .. })).count();
     // This report left before the command that starts the task arrived.
-    let orders = leader.on_report(&site, &report(2, None), None, at(30), at(30));
-    assert_eq!(starts(&orders), 1);
+    let due = leader.take_heartbeat(&site, &report(2, None), None, at(30), at(30));
+    assert_eq!(starts(&commands(&mut leader, due, 30)), 1);
     let running = report(3, Some((TaskPhase::Running, None)));
     leader.take_report(&site, &running, None, at(40), at(40));
     let stopped = || Some((TaskPhase::Exited, Some(Cause::Stopped)));
-    let orders = leader.take_report(&site, &report(4, stopped()), None, at(60), at(60));
+    let due = leader.take_report(&site, &report(4, stopped()), None, at(60), at(60));
+    let orders = commands(&mut leader, due, 60);
     assert_eq!(forgets(&orders), 0, "the answer to report 2 may still be on its way");
     // A copy of an old report says nothing of that answer.
-    leader.on_report(&site, &report(1, None), None, at(65), at(65));
-    let orders = leader.take_report(&site, &report(5, stopped()), None, at(70), at(70));
-    assert_eq!(forgets(&orders), 0);
+    leader.take_heartbeat(&site, &report(1, None), None, at(65), at(65));
+    let due = leader.take_report(&site, &report(5, stopped()), None, at(70), at(70));
+    assert_eq!(forgets(&commands(&mut leader, due, 70)), 0);
     // The worker's next report does.
-    let orders = leader.on_report(&site, &report(6, stopped()), None, at(500), at(500));
-    assert_eq!(forgets(&orders), 1);
+    let due = leader.take_heartbeat(&site, &report(6, stopped()), None, at(500), at(500));
+    assert_eq!(forgets(&commands(&mut leader, due, 500)), 1);
 }
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -7,6 +7,7 @@
 mod lives;
 mod matrix;
 mod meetings;
+mod outbox;
 pub mod planted;
 mod renewals;
 pub mod rules;
--- /dev/null
+++ b/tests/sim/outbox.rs
@@ -0,0 +1,140 @@
+//! Commands are built from the records when they leave: what was decided before is a reason, not
+//! a command.
+
+use super::lives::{at, place, report, site};
+use glenhaven::coordination::book::{Leader, MachineId, MachineState};
+use glenhaven::coordination::desk::Desk;
+use glenhaven::coordination::workers::{parse_task, Due, Leave};
+use glenhaven::protocol::users::Phase;
+use glenhaven::protocol::workers::{Order, Report, TaskPhase, TaskReport};
+
+/// A leader of term 1 that has recorded a start for n-000001 and not sent it yet.
+fn recorded() -> Leader {
+    let mut leader = Leader::new(1, 1, at(0));
+    leader.take_heartbeat(&site(), &report(1, vec![]), None, at(10), at(10));
+    place(&mut leader, at(20));
+    let job = leader.jobs.get_mut("run-000001").expect("it was placed");
+    job.placed.get_mut(&0).expect("it was placed").sent = false;
+    leader.queue_start(&"run-000001".into(), 0);
+    leader
+}
+
+/// What a direct message that leaves now under this token holds.
+fn leaves(leader: &mut Leader, fence: u64, desk: &Desk) -> Vec<Order> {
+    let name: MachineId = "n-000001".into();
+    let due: Due = leader.machines[&name].outbox.due.clone();
+    let now = at(500);
+    leader.commands_in_answer(&name, due, &Leave { fence, desk, now })
+}
+
+fn fenced(serial: u64, fence: u64) -> Report {
+    Report {
+        fence,
+        ..report(serial, vec![])
+    }
+}
+
+fn is_placed(leader: &Leader) -> bool {
+    leader.jobs["run-000001"].placed.contains_key(&0)
+}
+
+/// A record for which nothing was sent is not proven void by a report with a higher token: its
+/// start leaves under the new token, and the record says so.
+#[test]
+fn a_start_that_was_not_sent_outlives_a_raise_of_the_term() {
+    let mut leader = recorded();
+    leader.term_raised(2);
+    leader.take_heartbeat(&site(), &fenced(2, 2), None, at(100), at(100));
+    assert!(is_placed(&leader), "nothing was sent that could have been refused");
+    assert_eq!(leaves(&mut leader, 2, &Desk::new("node-0")).len(), 1);
+    // The next report was sent before that start arrived, and proves nothing of it.
+    leader.take_heartbeat(&site(), &fenced(3, 2), None, at(600), at(600));
+    assert!(is_placed(&leader), "the start under token 2 may be on its way");
+    leader.term_raised(3);
+    leader.take_heartbeat(&site(), &fenced(4, 3), None, at(700), at(700));
+    assert!(!is_placed(&leader), "it is refused from here on");
+}
+
+/// A queued start whose record was freed, and one of a stopped or cancelled job, don't exist.
+#[test]
+fn a_start_whose_reason_is_gone_does_not_leave() {
+    let desk = Desk::new("node-0");
+    let mut freed = recorded();
+    freed.free(&"run-000001".into(), 0, at(100));
+    assert!(leaves(&mut freed, 1, &desk).is_empty());
+
+    let mut stopped = recorded();
+    stopped.stop("run-000001", 0, 5.0, at(100));
+    assert!(!is_placed(&stopped), "nothing was sent: no word is needed");
+    assert!(leaves(&mut stopped, 1, &desk).is_empty());
+
+    let mut cancelled = recorded();
+    cancelled.cancel("run-000001", at(100));
+    assert!(leaves(&mut cancelled, 1, &desk).is_empty());
+
+    // Confirmed by this controller itself; the records have yet to hear of it.
+    let mut confirmed = recorded();
+    let mut desk = Desk::new("node-0");
+    desk.learn("run-000001", 9, Phase::Cancelled);
+    assert!(leaves(&mut confirmed, 1, &desk).is_empty());
+}
+
+/// Nothing starts on a machine that is given up, nor in a session that is over.
+#[test]
+fn a_start_for_a_machine_that_goes_or_began_anew_does_not_leave() {
+    let desk = Desk::new("node-0");
+    let mut doomed = recorded();
+    doomed.machines.get_mut("n-000001").expect("it reported").state = MachineState::Doomed;
+    assert!(leaves(&mut doomed, 1, &desk).is_empty());
+    assert!(!is_placed(&doomed), "it was never sent, and may start elsewhere");
+
+    let mut renewed = recorded();
+    let next_session = Report {
+        session: 2,
+        ..report(1, vec![])
+    };
+    renewed.take_heartbeat(&site(), &next_session, None, at(100), at(100));
+    assert!(leaves(&mut renewed, 1, &desk).is_empty());
+}
+
+/// An attempt that ended and a later one of the same task are told apart, however they are listed.
+#[test]
+fn attempts_at_one_task_are_told_apart() {
+    let listed = |attempt: u64, phase: TaskPhase| TaskReport {
+        task: "run-000001/0".into(),
+        attempt,
+        phase,
+        cause: None,
+    };
+    for last_first in [false, true] {
+        let mut leader = Leader::new(1, 1, at(0));
+        leader.take_heartbeat(&site(), &report(1, vec![]), None, at(10), at(10));
+        place(&mut leader, at(20));
+        leader.term_raised(2);
+        let mut tasks = vec![listed(0, TaskPhase::Exited), listed(1, TaskPhase::Running)];
+        if last_first {
+            tasks.reverse();
+        }
+        let report = Report {
+            fence: 2,
+            ..report(2, tasks)
+        };
+        leader.take_heartbeat(&site(), &report, None, at(100), at(100));
+        assert!(is_placed(&leader), "attempt 1 is on the machine");
+    }
+}
+
+#[test]
+fn a_task_has_one_name() {
+    assert_eq!(parse_task("run-000001/17"), Some(("run-000001", 17)));
+    assert_eq!(parse_task("run-000001/0"), Some(("run-000001", 0)));
+    for name in [
+        "run-000001/+0",
+        "run-000001/00",
+        "run-000001/",
+        "run-000001",
+        "run-000001/4294967296",
+    ] {
+        assert_eq!(parse_task(name), None, "{name}");
+    }
+}
--- a/tests/sim/renewals.rs
+++ b/tests/sim/renewals.rs
@@ -71,7 +71,7 @@
 /// A leader of term 1 whose cancelled job's start was sent and never seen.
 fn flying() -> Leader {
     let mut leader = Leader::new(1, 1, at(0));
-    leader.on_report(&site(), &report(1, &[]), None, at(10), at(10));
+    leader.take_heartbeat(&site(), &report(1, &[]), None, at(10), at(10));
     place(&mut leader, at(20));
     leader
 }
@@ -114,7 +114,7 @@
         fence: 99,
         ..report(2, &[])
     };
-    leader.on_report(&site, &forged, None, at(100), at(100));
+    leader.take_heartbeat(&site, &forged, None, at(100), at(100));
     assert!(
         leader.jobs["run-000001"].placed.contains_key(&0),
         "the start may be on its way"
@@ -125,7 +125,7 @@
         fence: 2,
         ..report(3, &[])
     };
-    leader.on_report(&site, &real, None, at(200), at(200));
+    leader.take_heartbeat(&site, &real, None, at(200), at(200));
     assert!(!leader.jobs["run-000001"].placed.contains_key(&0));
 }
 
