No more pages are opened than conditions are left; nothing is rented for what a limit stops

Change: Draft::limit_pages bounds pages by changes and by conditions; rent_for_stuck counts only what the team's limit lets start.

--- a/src/coordination/commit/transaction.rs
+++ b/src/coordination/commit/transaction.rs
@@ -191,6 +191,14 @@
         true
     }
 
+    /// Each page takes a change and a condition: no more are opened than what is left of both.
+    pub fn limit_pages(&mut self) {
+        let txn = &self.pending.txn;
+        let changes_left = self.max_changes.saturating_sub(txn.changes.len());
+        let conditions_left = self.max_conditions().saturating_sub(txn.conditions.len());
+        self.packer.lower_limit(changes_left.min(conditions_left));
+    }
+
     /// Whether one change and one condition more fit beside those of so many pages.
     fn has_room_for_end(&self, pages: usize) -> bool {
         let changes = self.pending.txn.changes.len() + 1 + pages;
--- a/src/coordination/commit/write.rs
+++ b/src/coordination/commit/write.rs
@@ -113,8 +113,7 @@
         let starts = draft.pending.starts.len();
         self.write_completed(draft);
         self.write_withdrawn(draft);
-        let changes_left = draft.max_changes - draft.pending.txn.changes.len();
-        draft.packer.lower_limit(changes_left);
+        draft.limit_pages();
         self.write_new_descriptions(draft);
         self.write_ended(draft);
         write_settled(draft, claims.settled);
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -794,9 +794,16 @@
                 coming.push((claim.machine_type.clone(), claim.zone.clone(), claim.spot, cores));
             }
         }
+        let held = super::placement::team_use(&self.jobs);
         let mut wanted: Vec<Stuck> = vec![];
         for job in self.jobs.values() {
             let s = &job.spec;
+            // What its team's limit stops starts on no machine, however many are rented.
+            let team_holds = held.get(&s.team).map_or(0.0, |h| h.0);
+            let left = site.limits(&s.team).0 - team_holds;
+            if left < s.cpus {
+                continue;
+            }
             let bound = s.one_zone || s.spread || s.zone.is_some() || s.types.is_some();
             // Where cores are short in all, the ordinary decision rents; here
             // only what it cannot see.
@@ -809,7 +816,7 @@
                 continue;
             }
             let open = open_zones(job, &self.machines, &zones);
-            let cores = job.waiting.len() as f64 * effective_cores(&job.spec, site);
+            let cores = (job.waiting.len() as f64 * effective_cores(&job.spec, site)).min(left);
             let spot_only = takes_leftovers(site, job, now);
             wanted.push(Stuck {
                 version: job.version,
