--- /dev/null
+++ b/tests/bad_input.rs
@@ -0,0 +1,249 @@
+//! Bad input over HTTP, in front of one real process: unknown machines, tokens never given
+//! out, half a body, names of tasks that don't parse, a session that goes back. Nothing
+//! changes that may not, the process goes on, and the log says it in one line.
+
+mod net;
+
+use async_io::Timer;
+use ciborium::{cbor, Value};
+use futures_lite::future;
+use net::*;
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const JOB: &str = "run-000001";
+const MACHINE: &str = "n-000001";
+/// The session in which the machine runs the job's task.
+const SESSION: u64 = 2;
+
+/// A controller that has one task running on one machine.
+struct Site {
+    process: Process,
+    public: u16,
+    store: Arc<Mutex<Store>>,
+    log: PathBuf,
+    serial: u64,
+    fence: u64,
+    attempt: u64,
+}
+
+fn running(task: &str, attempt: u64) -> Value {
+    cbor!({"piece" => task, "try" => attempt, "phase" => "running"}).unwrap()
+}
+
+fn report(machine: &str, session: u64, serial: u64, fence: u64, tasks: Vec<Value>) -> Value {
+    cbor!({"host" => machine, "addr" => "127.0.0.1:1", "flavor" => "m", "yard" => "a", "reclaimable" => false,
+        "tenure" => session, "serial" => serial, "fence" => fence, "warning_s" => null, "pieces" => tasks})
+    .unwrap()
+}
+
+impl Site {
+    async fn new(name: &str) -> Site {
+        let (store, state, cloud) = stand_ins(16.0, 20.0);
+        let public = free_port();
+        let dir = std::env::temp_dir().join(format!("glenhaven-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        let (file, log) = (dir.join("settings.toml"), dir.join("log"));
+        std::fs::write(&file, settings(public, free_port(), state, cloud)).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_glenhaven"))
+            .arg("--config")
+            .arg(&file)
+            .stderr(std::fs::File::create(&log).unwrap())
+            .spawn()
+            .unwrap();
+        let mut site = Site {
+            process: Process(child),
+            public,
+            store,
+            log,
+            serial: 0,
+            fence: 0,
+            attempt: 0,
+        };
+        ready(public).await;
+        assert_eq!(site.submit(&job(JOB, 1, 1.0)).await.0, 201);
+        site.start().await;
+        site
+    }
+
+    async fn submit(&self, job: &Value) -> (u16, Value) {
+        ask(self.public, "POST", "/v2/runs", encode(job)).await
+    }
+
+    /// The machine reports until it is told to start the job's task, and then that it runs.
+    async fn start(&mut self) {
+        let began = Instant::now();
+        while self.attempt == 0 {
+            let (_, body) = self.reports(vec![]).await;
+            self.fence = number(&body, "fence").unwrap_or(0);
+            let orders = field(&body, "orders").and_then(Value::as_array).cloned();
+            let start = orders.unwrap_or_default().into_iter().next();
+            self.attempt = start.and_then(|order| number(&order, "try")).unwrap_or(0);
+            assert!(began.elapsed() < Duration::from_secs(10), "no start for the worker");
+            Timer::after(Duration::from_millis(100)).await;
+        }
+        self.runs_on().await;
+    }
+
+    /// What the machine says of itself.
+    async fn reports(&mut self, tasks: Vec<Value>) -> (u16, Value) {
+        self.serial += 1;
+        self.hello(&report(MACHINE, SESSION, self.serial, self.fence, tasks))
+            .await
+    }
+
+    async fn hello(&self, report: &Value) -> (u16, Value) {
+        ask(self.public, "POST", "/hello", encode(report)).await
+    }
+
+    /// The machine reports its task and is told nothing; the job's user is told that it runs.
+    async fn runs_on(&mut self) {
+        let task = running(&format!("{JOB}/0"), self.attempt);
+        let (status, body) = self.reports(vec![task]).await;
+        let orders = field(&body, "orders").and_then(Value::as_array).map(Vec::len);
+        assert_eq!((status, orders), (200, Some(0)), "{body:?}");
+        let (status, body) = ask(self.public, "GET", &format!("/v2/runs/{JOB}"), vec![]).await;
+        assert_eq!((status, number(&body, "running")), (200, Some(1)), "{body:?}");
+    }
+
+    /// What the state service holds of jobs and their tasks.
+    fn records(&self) -> Vec<(String, Value)> {
+        let store = self.store.lock().unwrap();
+        let of_jobs = |key: &str| key.starts_with("job/") || key.starts_with("open/");
+        let rows = store.keys.iter().filter(|(key, _)| of_jobs(key));
+        rows.map(|(key, (value, _))| (key.clone(), value.clone())).collect()
+    }
+
+    fn log(&self) -> Vec<String> {
+        let text = std::fs::read_to_string(&self.log).unwrap();
+        text.lines().map(str::to_string).collect()
+    }
+
+    /// The process goes on, the task too, and the log got one line that says this.
+    async fn unmoved(&mut self, what: &str, records: &[(String, Value)], lines: usize, says: &str) {
+        assert!(
+            self.process.0.try_wait().unwrap().is_none(),
+            "{what}: the process ended"
+        );
+        self.runs_on().await;
+        Timer::after(Duration::from_millis(300)).await;
+        assert_eq!(self.records(), records, "{what}");
+        let told = self.log().split_off(lines);
+        let count = told.iter().filter(|line| line.contains(says)).count();
+        assert_eq!(count, 1, "{what}: {told:?}");
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(self.log.parent().unwrap()).ok();
+    }
+}
+
+#[test]
+fn half_a_body() {
+    future::block_on(async {
+        let mut site = Site::new("half").await;
+        let (records, lines) = (site.records(), site.log().len());
+        let half =
+            |path: &str| format!("POST {path} HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\nabc").into_bytes();
+        assert_eq!(raw(site.public, half("/hello")).await.expect("an answer").0, 408);
+        site.unmoved("a body that goes no further", &records, lines, "/hello")
+            .await;
+
+        let mut body = encode(&report(MACHINE, SESSION, site.serial + 1, site.fence, vec![]));
+        body.truncate(body.len() / 2);
+        let lines = site.log().len();
+        assert_eq!(ask(site.public, "POST", "/hello", body).await.0, 400);
+        site.unmoved("half a report", &records, lines, "malformed report").await;
+
+        let mut body = encode(&job("run-000002", 1, 1.0));
+        body.truncate(body.len() / 2);
+        let lines = site.log().len();
+        assert_eq!(ask(site.public, "POST", "/v2/runs", body).await.0, 400);
+        assert_eq!(ask(site.public, "GET", "/v2/runs/run-000002", vec![]).await.0, 404);
+        site.unmoved("half a submission", &records, lines, "malformed submission")
+            .await;
+    });
+}
+
+#[test]
+fn an_unknown_machine() {
+    future::block_on(async {
+        let mut site = Site::new("unknown").await;
+        let records = site.records();
+        // It claims the task that runs elsewhere, and one of a job that no one submitted.
+        let tasks = vec![running(&format!("{JOB}/0"), site.attempt), running("run-000777/0", 1)];
+        let (status, body) = site.hello(&report("n-777777", 1, 1, 0, tasks)).await;
+        let orders = field(&body, "orders").and_then(Value::as_array).cloned();
+        let kills = |order: &Value| text(order, "verb").as_deref() == Some("kill");
+        assert_eq!(status, 200);
+        assert!(orders.is_some_and(|o| o.len() == 2 && o.iter().all(kills)), "{body:?}");
+        let said = std::fs::read_to_string(&site.log).unwrap();
+        assert_eq!(said.matches("n-777777").count(), 1, "{said}");
+        assert_eq!(ask(site.public, "GET", "/v2/runs/run-000777", vec![]).await.0, 404);
+        site.runs_on().await;
+        assert_eq!(site.records(), records);
+    });
+}
+
+#[test]
+fn a_token_never_given_out() {
+    future::block_on(async {
+        let mut site = Site::new("token").await;
+        let records = site.records();
+        for fence in [site.fence + 1, u64::MAX] {
+            let lines = site.log().len();
+            // By this token the start would be refused, and its task gone.
+            let (status, body) = site
+                .hello(&report(MACHINE, SESSION, site.serial + 1, fence, vec![]))
+                .await;
+            let orders = field(&body, "orders").and_then(Value::as_array).map_or(0, Vec::len);
+            assert!(status != 200 || orders == 0, "{status} {body:?}");
+            site.unmoved("a token never given out", &records, lines, MACHINE).await;
+        }
+    });
+}
+
+#[test]
+fn a_task_name_that_does_not_parse() {
+    future::block_on(async {
+        let mut site = Site::new("names").await;
+        let records = site.records();
+        let own = format!("{JOB}/0");
+        for name in [
+            "",
+            "/",
+            "0",
+            "run-000001",
+            "run-000001/",
+            "run-000001/x",
+            "run-000001/+0",
+            "run-000001/00",
+            "run-000001/99999999999",
+        ] {
+            let lines = site.log().len();
+            site.serial += 1;
+            let tasks = vec![running(&own, site.attempt), running(name, site.attempt + 7)];
+            let told = report(MACHINE, SESSION, site.serial, site.fence, tasks);
+            assert_eq!(site.hello(&told).await.0, 200, "{name}");
+            site.unmoved(&format!("a task called {name:?}"), &records, lines, MACHINE)
+                .await;
+        }
+    });
+}
+
+#[test]
+fn a_session_that_goes_back() {
+    future::block_on(async {
+        let mut site = Site::new("session").await;
+        let (records, lines) = (site.records(), site.log().len());
+        let earlier = report(MACHINE, SESSION - 1, site.serial + 5, site.fence, vec![]);
+        let (_, body) = site.hello(&earlier).await;
+        let orders = field(&body, "orders").and_then(Value::as_array).map_or(0, Vec::len);
+        assert_eq!(orders, 0, "{body:?}");
+        site.unmoved("a session that goes back", &records, lines, MACHINE).await;
+    });
+}
--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -321,3 +321,52 @@
     });
     (store, ports.0, ports.1)
 }
+
+/// Settings of one node that serves alone, by its ports and those of its services.
+pub fn settings(public: u16, peer: u16, state: u16, cloud: u16) -> String {
+    format!(
+        r#"
+node = "worker-0"
+zone = "a"
+public_addr = "127.0.0.1:{public}"
+peer_bind = "127.0.0.1:{peer}"
+something_new = true
+[services]
+cloud = "127.0.0.1:{cloud}"
+state = "127.0.0.1:{state}"
+[params]
+size = 1
+[[params.teams]]
+name = "blue"
+cpus_max = 20.0
+[params.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 40.0
+[params.state]
+rps = 200.0
+write_rps = 100.0
+value_kb = 8.0
+txn_ops = 24
+[params.cloud]
+rps = 8.0
+list_lag_s = 1.0
+[params.resources]
+cpu = 0.2
+mem_mb = 100.0
+sockets = 100
+"#
+    )
+}
+
+/// Waits until the node that listens here can take requests.
+pub async fn ready(public: u16) {
+    let began = Instant::now();
+    while !matches!(
+        raw(public, b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n".to_vec()).await,
+        Some((200, _, _))
+    ) {
+        assert!(began.elapsed() < Duration::from_secs(20), "never ready");
+        Timer::after(Duration::from_millis(50)).await;
+    }
+}
--- /dev/null
+++ b/tests/sim/answers.rs
@@ -0,0 +1,313 @@
+//! What users were told and what started, checked against the protocol alone: no start is
+//! commanded after a confirmed cancellation, nothing is accepted that can't run or lacks a
+//! field, and no answer is older than one that any node gave before the question was sent.
+
+use super::script::Script;
+use super::MS;
+use glenhaven::protocol::cloud::MachineType;
+use glenhaven::protocol::from_cbor;
+use glenhaven::protocol::users::{JobState, Phase, Shape, Spec};
+use glenhaven::protocol::workers::Order;
+use glenhaven::settings::Team;
+use std::collections::BTreeMap;
+
+/// The fields of a submission that may not be absent.
+pub const REQUIRED: [&str; 17] = [
+    "ref",
+    "jobclass",
+    "owner",
+    "shape",
+    "rank",
+    "pieces",
+    "cores",
+    "cards",
+    "mem_gb",
+    "together",
+    "apart",
+    "reclaimable",
+    "bundle",
+    "size_gb",
+    "expected_s",
+    "snapshot_every_s",
+    "snapshot_cost_s",
+];
+
+/// What is known of a job by the answers that its users got.
+#[derive(Default)]
+struct Told {
+    /// When the first answer left that called it accepted.
+    accepted: Option<u64>,
+    /// When the first answer left that called it done or cancelled, and which.
+    ended: Option<(u64, Phase)>,
+}
+
+/// By then every controller that hears the state service has heard of a cancellation; a start
+/// that left earlier was on its way.
+const NEWS: u64 = 100 * MS;
+
+/// A life of a controller.
+pub type Life = (usize, u64);
+
+/// A command to a worker on its way: the answer to a report, or a direct one.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+pub enum Carrier {
+    /// The worker and its report's number.
+    Answer(String, u64),
+    /// The request's number.
+    Direct(Life, u64),
+}
+
+/// An answer to a user.
+pub struct Answer {
+    /// When its question was sent, and when the answer left.
+    pub asked: u64,
+    pub left: u64,
+    pub status: u16,
+    pub phase: Option<Phase>,
+}
+
+pub struct Answers {
+    teams: Vec<Team>,
+    types: Vec<MachineType>,
+    told: BTreeMap<String, Told>,
+    /// When controllers first said that a job is cancelled.
+    said: BTreeMap<(Life, String), u64>,
+    /// From whom and when commands left that are on their way.
+    leaving: BTreeMap<Carrier, (Life, u64)>,
+    /// The same of the start that put a task and attempt on a machine.
+    commanded: BTreeMap<(String, String, u64), (Life, u64)>,
+}
+
+impl Answers {
+    pub fn new(script: &Script) -> Answers {
+        Answers {
+            teams: script.base.params.teams.clone(),
+            types: script.types.clone(),
+            told: BTreeMap::new(),
+            said: BTreeMap::new(),
+            leaving: BTreeMap::new(),
+            commanded: BTreeMap::new(),
+        }
+    }
+
+    /// A job is known from before the play.
+    pub fn inherited(&mut self, job: &str) {
+        self.told.entry(job.into()).or_default().accepted = Some(0);
+    }
+
+    /// Commands leave a controller.
+    pub fn leaves(&mut self, from: Life, carrier: Carrier, orders: &[Order], now: u64) {
+        if orders.iter().any(|order| matches!(order, Order::Start { .. })) {
+            self.leaving.insert(carrier, (from, now));
+        }
+    }
+
+    /// A controller says of a job what state it is in.
+    pub fn says(&mut self, from: Life, state: &JobState, now: u64) {
+        if state.phase == Phase::Cancelled {
+            self.said.entry((from, state.id.clone())).or_insert(now);
+        }
+    }
+
+    /// Commands have arrived at a worker, which executes them.
+    pub fn executed(&mut self, carrier: &Carrier, machine: &str, orders: &[Order]) {
+        let Some(left) = self.leaving.remove(carrier) else {
+            return;
+        };
+        for order in orders {
+            if let Order::Start { task, attempt } = order {
+                let start = (machine.to_string(), task.clone(), *attempt);
+                self.commanded.entry(start).or_insert(left);
+            }
+        }
+    }
+
+    /// A worker no longer knows an attempt.
+    pub fn forgotten(&mut self, machine: &str, task: &str, attempt: u64) {
+        self.commanded.remove(&(machine.into(), task.into(), attempt));
+    }
+
+    /// A machine's session has ended, and all its tasks with it.
+    pub fn session_ended(&mut self, machine: &str) {
+        self.commanded.retain(|(on, ..), _| on != machine);
+    }
+
+    /// What is wrong with a task that begins on a machine: its start left a controller that
+    /// had called the job cancelled, or long after any had told its user.
+    pub fn started(&self, machine: &str, task: &str, attempt: u64) -> Option<String> {
+        let (from, left) = *self.commanded.get(&(machine.into(), task.into(), attempt))?;
+        let job = task.rsplit_once('/')?.0;
+        let told = self.told.get(job).and_then(|told| told.ended);
+        let late = matches!(told, Some((at, Phase::Cancelled)) if left > at + NEWS);
+        let knew = self.said.get(&(from, job.into())).is_some_and(|at| *at < left);
+        (late || knew).then(|| {
+            let told = told.map(|told| told.0);
+            format!("started_cancelled: {task} on {machine}, commanded by {from:?} at {left}, cancelled at {told:?}, knew: {knew}")
+        })
+    }
+
+    /// What is wrong with an answer about this job, given all answers before it.
+    pub fn heard(&mut self, job: &str, answer: &Answer) -> Option<String> {
+        let told = self.told.entry(job.into()).or_default();
+        let before = |at: u64| at < answer.asked;
+        let wrong = match (answer.status, answer.phase) {
+            (200 | 201, Some(phase)) => {
+                told.accepted.get_or_insert(answer.left);
+                match told.ended {
+                    Some((_, first)) if phase.is_final() && phase != first => {
+                        Some(format!("went_back: {job} was {first:?}, now {phase:?}"))
+                    }
+                    Some((at, first)) if !phase.is_final() && before(at) => {
+                        Some(format!("went_back: {job} was {first:?} since {at}, now {phase:?}"))
+                    }
+                    None if phase.is_final() => {
+                        told.ended = Some((answer.left, phase));
+                        None
+                    }
+                    _ => None,
+                }
+            }
+            (404, _) if told.accepted.is_some_and(before) => Some(format!("forgotten: {job} answered 404")),
+            (400 | 422, _) if told.accepted.is_some_and(before) => {
+                Some(format!("forgotten: {job} answered {}", answer.status))
+            }
+            _ => None,
+        };
+        wrong.map(|why| format!("{why}; asked at {}, answered at {}", answer.asked, answer.left))
+    }
+
+    /// Why a submission that was just accepted may not be, if that is so.
+    pub fn accepted(&self, body: &[u8]) -> Option<String> {
+        let Ok(fields) = from_cbor::<BTreeMap<String, ciborium::Value>>(body) else {
+            return Some("accepted, though it is no map".into());
+        };
+        let absent = |name: &&&str| fields.get(**name).is_none_or(ciborium::Value::is_null);
+        if let Some(name) = REQUIRED.iter().find(absent) {
+            return Some(format!("accepted, though it lacks {name}"));
+        }
+        let Ok(spec) = from_cbor::<Spec>(body) else {
+            return Some("accepted, though it is malformed".into());
+        };
+        self.never_runs(&spec)
+            .map(|why| format!("{} accepted, though it can't run: {why}", spec.id))
+    }
+
+    fn never_runs(&self, spec: &Spec) -> Option<&'static str> {
+        let Some(team) = self.teams.iter().find(|team| team.name == spec.team) else {
+            return Some("unknown team");
+        };
+        let at_once = match spec.shape {
+            Shape::Array => 1.0,
+            Shape::Service => f64::from(spec.tasks),
+        };
+        if team.cpus_max > 0.0 && at_once * spec.cpus > team.cpus_max + 1e-9 {
+            return Some("over the team's limit");
+        }
+        let fits = |t: &MachineType| {
+            t.cpus >= spec.cpus
+                && t.gpus >= spec.gpus
+                && t.memory >= spec.memory
+                && spec.types.as_ref().is_none_or(|types| types.contains(&t.name))
+                && spec.zone.as_ref().is_none_or(|zone| t.zones.contains(zone))
+        };
+        (!self.types.iter().any(fits)).then_some("fits no allowed machine type")
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::script::plain_spec;
+    use super::*;
+    use glenhaven::protocol::to_cbor;
+
+    const JOB: &str = "run-000001";
+
+    fn answers() -> Answers {
+        Answers::new(&Script::parse("team blue max=8").unwrap())
+    }
+
+    fn heard(answers: &mut Answers, asked: u64, left: u64, status: u16, phase: Option<Phase>) -> bool {
+        let answer = Answer {
+            asked,
+            left,
+            status,
+            phase,
+        };
+        answers.heard(JOB, &answer).is_some()
+    }
+
+    #[test]
+    fn an_older_answer_is_told() {
+        let mut a = answers();
+        assert!(!heard(&mut a, 1, 2, 404, None), "nobody accepted it");
+        assert!(!heard(&mut a, 1, 10, 201, Some(Phase::Pending)));
+        assert!(!heard(&mut a, 9, 11, 404, None), "asked before it was accepted");
+        assert!(heard(&mut a, 11, 12, 404, None));
+        assert!(heard(&mut a, 11, 12, 422, None));
+        assert!(!heard(&mut a, 12, 20, 200, Some(Phase::Cancelled)));
+        assert!(
+            !heard(&mut a, 19, 21, 200, Some(Phase::Running)),
+            "asked before the end"
+        );
+        assert!(heard(&mut a, 21, 22, 200, Some(Phase::Running)));
+        assert!(heard(&mut a, 19, 22, 200, Some(Phase::Done)), "two ends");
+    }
+
+    #[test]
+    fn a_start_after_a_confirmed_cancellation_is_told() {
+        let start = |attempt| Order::Start {
+            task: format!("{JOB}/0"),
+            attempt,
+        };
+        let cancelled = JobState {
+            id: JOB.into(),
+            phase: Phase::Cancelled,
+            done: None,
+            running: None,
+        };
+        let mut a = answers();
+        heard(&mut a, 1, 10, 200, Some(Phase::Cancelled));
+        a.says((0, 1), &cancelled, 10);
+        let starts = [(0, 9, false), (0, 11, true), (1, 11, false), (1, 11 + NEWS, true)];
+        for (attempt, (node, left, wrong)) in starts.into_iter().enumerate() {
+            let attempt = attempt as u64;
+            let carrier = || Carrier::Direct((node, 1), attempt);
+            a.leaves((node, 1), carrier(), &[start(attempt)], left);
+            a.executed(&carrier(), "n-1", &[start(attempt)]);
+            assert_eq!(a.started("n-1", "run-000001/0", attempt).is_some(), wrong, "{attempt}");
+        }
+    }
+
+    #[test]
+    fn what_can_not_run_or_lacks_a_field_is_told() {
+        let a = answers();
+        let good = Spec {
+            cpus: 4.0,
+            tasks: 3,
+            ..plain_spec(JOB)
+        };
+        assert_eq!(a.accepted(&to_cbor(&good)), None);
+        let change = |change: fn(&mut Spec)| {
+            let mut spec = good.clone();
+            change(&mut spec);
+            a.accepted(&to_cbor(&spec))
+        };
+        let changes: [fn(&mut Spec); 6] = [
+            |s| s.team = "green".into(),
+            |s| s.cpus = 9.0,
+            |s| s.shape = Shape::Service,
+            |s| s.memory = 65.0,
+            |s| s.types = Some(vec!["none".into()]),
+            |s| s.zone = Some("z".into()),
+        ];
+        for (n, bad) in changes.into_iter().enumerate() {
+            assert!(change(bad).is_some(), "change {n}");
+        }
+        for field in REQUIRED {
+            let mut fields: BTreeMap<String, ciborium::Value> = from_cbor(&to_cbor(&good)).unwrap();
+            fields.remove(field);
+            assert!(a.accepted(&to_cbor(&fields)).is_some(), "{field}");
+        }
+        assert!(a.accepted(b"\xff").is_some());
+    }
+}
--- a/tests/sim/meetings.rs
+++ b/tests/sim/meetings.rs
@@ -15,7 +15,7 @@
 
 /// Kinds of troubles; `{d}`: how long, `{s}`: a few seconds, `{m}`: a number of machines,
 /// `{n}`: a controller, `{q}`: a moment, `{h}`: a share. Several lines are one trouble.
-const KINDS: [&str; 30] = [
+const KINDS: [&str; 36] = [
     "crash leader for {q}",
     "crash all for {q}",
     "crash all for {q}\ncrash leader for {d}",
@@ -46,6 +46,12 @@
     "peers-refuse for {d}",
     "crash-on term for {q}\ncrash-on job/ for {q}\ncrash-on open/ for {q}",
     "state-limits",
+    "cancel-now {m} hang={s}",
+    "crash leader for {q}\ncancel-now 8 hang={s}",
+    "cut {m} for {d}\ncancel-now {m} later=0.1",
+    "cancel-at-end {h} for {d}",
+    "odd-requests for {d}",
+    "close-looks for {d}",
 ];
 /// What is written, by the beginnings of keys: acceptances, ends of jobs, the book and rentals,
 /// terms, releases and limits, machines kept for a leader that can't hear them.
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -2,9 +2,11 @@
 //! workers and users, written from the protocol, around real controllers'
 //! coordination code. Every rule is checked as things happen.
 
+mod answers;
 pub mod cloud;
 pub mod links;
 mod lives;
+mod looks;
 mod matrix;
 mod meetings;
 pub mod planted;
@@ -12,6 +14,7 @@
 pub mod rules;
 pub mod script;
 pub mod shares;
+mod starving;
 pub mod store;
 pub mod users;
 pub mod workers;
@@ -45,6 +48,10 @@
     /// The answer to a user's request, and when it left the controller.
     UserAnswer(String, u64, u64, Outgoing),
     UserLate(String, u64),
+    /// A question to one node beside those that a user asks in turn, and its answer.
+    Ask(String, users::Asked, usize),
+    LookAnswer(u64, u64, Outgoing),
+    OddRequests(usize),
     Step(usize),
     Heal(usize),
     Start(usize),
@@ -57,6 +64,7 @@
 pub enum Origin {
     Worker(String, u64),
     User(String, u64),
+    Look(u64),
 }
 
 pub struct Node {
@@ -145,6 +153,9 @@
     pub workers: BTreeMap<String, workers::Worker>,
     pub users: BTreeMap<String, users::User>,
     pub rules: rules::Rules,
+    pub answers: answers::Answers,
+    pub starving: starving::Starving,
+    pub troubles: looks::Troubles,
     pub script: script::Script,
     pub broken: Broken,
     pub origins: BTreeMap<u64, Origin>,
@@ -155,6 +166,7 @@
     pub results: BTreeSet<String>,
     /// A fault that the search for meetings is to find.
     pub planted: Option<planted::Fault>,
+    planted_cache: planted::Cache,
 }
 
 impl World {
@@ -190,6 +202,9 @@
             workers: BTreeMap::new(),
             users: BTreeMap::new(),
             rules: rules::Rules::new(&script),
+            answers: answers::Answers::new(&script),
+            starving: starving::Starving::default(),
+            troubles: looks::Troubles::default(),
             broken: Broken {
                 zone_of,
                 ..Broken::default()
@@ -200,6 +215,7 @@
             links_told: BTreeMap::new(),
             results: BTreeSet::new(),
             planted: None,
+            planted_cache: BTreeMap::new(),
             script,
         }
     }
@@ -327,10 +343,14 @@
             Ev::User(job) => self.user_acts(&job),
             Ev::UserAnswer(job, rid, left, answer) => self.user_answered(&job, rid, left, answer),
             Ev::UserLate(job, rid) => self.user_late(&job, rid),
+            Ev::Ask(job, asked, n) => self.ask(&job, asked, n),
+            Ev::LookAnswer(number, left, answer) => self.look_answered(number, left, &answer),
+            Ev::OddRequests(step) => self.odd_requests(step),
             Ev::Step(i) => self.step(i),
             Ev::Heal(i) => self.heal(i),
             Ev::Look => {
                 self.rules.look_at_services(self.now, &self.workers, &self.users);
+                self.look_for_starving();
                 self.after(SEC, Ev::Look);
             }
         }
@@ -373,6 +393,7 @@
             }
         }
         for effect in effects {
+            self.note((n, life), &effect);
             let hop = self.hop();
             match effect {
                 Effect::Reply { id, answer } => match self.origins.remove(&id) {
@@ -384,7 +405,8 @@
                             self.after(hop + late, Ev::ReportAnswer(name, rid, answer));
                         }
                     }
-                    Some(Origin::User(..)) if self.broken.cut_off(n, "users") => {}
+                    Some(Origin::User(..) | Origin::Look(_)) if self.broken.cut_off(n, "users") => {}
+                    Some(Origin::Look(number)) => self.after(hop, Ev::LookAnswer(number, self.now, answer)),
                     Some(Origin::User(job, rid)) => self.after(hop, Ev::UserAnswer(job, rid, self.now, answer)),
                     None => {}
                 },
@@ -445,6 +467,32 @@
         }
     }
 
+    /// Notes what a controller tells workers to do, and users of their jobs.
+    fn note(&mut self, from: answers::Life, effect: &Effect) {
+        let now = self.now;
+        match effect {
+            Effect::Direct { id, body, .. } => {
+                let carrier = answers::Carrier::Direct(from, *id);
+                self.answers.leaves(from, carrier, &body.orders, now);
+            }
+            Effect::Reply { id, answer } => match self.origins.get(id) {
+                Some(Origin::Worker(name, rid)) => {
+                    let carrier = answers::Carrier::Answer(name.clone(), *rid);
+                    if let Ok(orders) = Self::read_answer(answer) {
+                        self.answers.leaves(from, carrier, &orders.orders, now);
+                    }
+                }
+                Some(_) => {
+                    if let Ok(state) = from_cbor(&answer.body) {
+                        self.answers.says(from, &state, now);
+                    }
+                }
+                None => {}
+            },
+            _ => {}
+        }
+    }
+
     fn step(&mut self, i: usize) {
         use script::Act;
         let step = self.script.steps[i].clone();
@@ -467,6 +515,7 @@
                 let mut user = users::User::new(*spec.clone(), step.run_s, step.mistake);
                 user.submitted = true;
                 user.accepted = Some(self.now);
+                self.answers.inherited(&spec.id);
                 self.users.insert(spec.id.clone(), user);
                 self.event(Ev::User(spec.id));
             }
@@ -534,10 +583,7 @@
             Act::Hang(count) => {
                 let until = self.now + step.lasts.unwrap_or(SEC);
                 for name in self.busiest(count) {
-                    if let Some(w) = self.workers.get_mut(&name) {
-                        w.hangs_until = until;
-                    }
-                    self.after(until - self.now, Ev::Worker(name));
+                    self.hang(&name, until);
                 }
             }
             Act::Kill(count) => {
@@ -614,6 +660,17 @@
                 self.tell_watches();
             }
             Act::StateLimits => self.store.lower(),
+            Act::CancelNow(count, hangs) => self.cancel_now(count, hangs),
+            Act::CancelAtEnd(share) => {
+                self.troubles.cancel_at_end.insert(i, share);
+            }
+            Act::CloseLooks => {
+                self.troubles.close_looks.insert(i);
+            }
+            Act::OddRequests => {
+                self.troubles.odd_requests.insert(i);
+                self.odd_requests(i);
+            }
             Act::Storm(factor) => {
                 self.broken.storm.insert(i, factor);
                 let all: Vec<String> = self.users.keys().cloned().collect();
@@ -645,6 +702,7 @@
                 self.run(n, batch);
             }
         }
+        self.troubles.heal(i);
         let b = &mut self.broken;
         b.state_out.remove(&i);
         b.state_deaf.remove(&i);
--- a/tests/sim/planted.rs
+++ b/tests/sim/planted.rs
@@ -2,12 +2,16 @@
 //! to show that the search for meetings finds them. The controllers' own code is what it is
 //! in the daemon: nothing there can be switched.
 
-use super::{Ev, Origin, World};
+use super::rules::job_of;
+use super::{Ev, Origin, World, SEC};
 use glenhaven::coordination::{CloudAnswer, CloudRequest, Command, Effect};
 use glenhaven::protocol::peer::PeerMessage;
 use glenhaven::protocol::store::{Change, StoreRequest, Txn};
+use glenhaven::protocol::users::{JobState, Phase};
 use glenhaven::protocol::workers::{Order, Orders, Report};
 use glenhaven::protocol::{from_cbor, to_cbor};
+use glenhaven::transport::server::Outgoing;
+use std::collections::BTreeMap;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Fault {
@@ -33,9 +37,17 @@
     TakesReleaseForGranted,
     /// A job that can't be decided now is called unknown.
     ForgetsInDoubt,
+    /// A task that a cancelled job's stop is for is started once more.
+    StartsCancelled,
+    /// What can't run or lacks a field is accepted.
+    AcceptsAnything,
+    /// A node repeats for a second what it said of a job.
+    AnswersFromCache,
+    /// Some jobs' starts are never sent.
+    StartsNotAll,
 }
 
-pub const ALL: [Fault; 11] = [
+pub const ALL: [Fault; 15] = [
     Fault::RenewsUnproven,
     Fault::OneVouchesForAll,
     Fault::StopsNothing,
@@ -47,8 +59,18 @@
     Fault::ForgetsAtOnce,
     Fault::TakesReleaseForGranted,
     Fault::ForgetsInDoubt,
+    Fault::StartsCancelled,
+    Fault::AcceptsAnything,
+    Fault::AnswersFromCache,
+    Fault::StartsNotAll,
 ];
 
+/// How long a node repeats itself.
+const CACHED: u64 = SEC;
+
+/// What each node last said of a job, and when.
+pub type Cache = BTreeMap<(usize, String), (u64, Outgoing)>;
+
 impl World {
     /// A copy of an earlier session's report, made to look like a later one's.
     pub fn plant_copy(&mut self, report: &mut Report) {
@@ -61,6 +83,50 @@
         }
     }
 
+    /// Starts too many, or too few.
+    fn plant_starts(&self, fault: Fault, orders: &mut Vec<Order>) {
+        if fault == Fault::StartsNotAll {
+            orders.retain(|o| !matches!(o, Order::Start { task, .. } if job_of(task).ends_with('7')));
+        }
+        if fault != Fault::StartsCancelled {
+            return;
+        }
+        for order in orders {
+            if let Order::Stop { task, attempt, .. } = order {
+                let user = self.users.get(job_of(task));
+                if user.is_some_and(|u| u.cancelled.is_some_and(|at| at < self.now)) {
+                    let (task, attempt) = (task.clone(), *attempt + 1000);
+                    *order = Order::Start { task, attempt };
+                }
+            }
+        }
+    }
+
+    /// Answers a question beside those that users ask in turn.
+    fn plant_look(&mut self, n: usize, number: u64, fault: Fault, answer: &mut Outgoing) {
+        let Some(job) = self.troubles.job_of(number).map(str::to_string) else {
+            return;
+        };
+        if fault == Fault::AcceptsAnything && matches!(answer.status, 400 | 422) {
+            let state = JobState {
+                id: job.clone(),
+                phase: Phase::Pending,
+                done: None,
+                running: None,
+            };
+            (answer.status, answer.body) = (201, to_cbor(&state));
+        }
+        if fault == Fault::AnswersFromCache {
+            let now = self.now;
+            let cached = self.planted_cache.entry((n, job));
+            let said = cached.or_insert_with(|| (now, answer.clone()));
+            if now > said.0 + CACHED {
+                *said = (now, answer.clone());
+            }
+            *answer = said.1.clone();
+        }
+    }
+
     /// What a controller with the planted fault would do instead.
     pub fn plant(&mut self, n: usize, effects: Vec<Effect>) -> Vec<Effect> {
         let Some(fault) = self.planted else { return effects };
@@ -85,12 +151,14 @@
                                     orders.orders.push(Order::Forget { task, attempt });
                                 }
                             }
+                            self.plant_starts(fault, &mut orders.orders);
                             answer.body = to_cbor(&orders);
                         }
                     }
                     Some(Origin::User(..)) if fault == Fault::ForgetsInDoubt && answer.status == 503 => {
                         answer.status = 404;
                     }
+                    Some(Origin::Look(number)) => self.plant_look(n, *number, fault, answer),
                     _ => {}
                 },
                 Effect::Store {
@@ -100,6 +168,7 @@
                 Effect::Direct { body, .. } if fault == Fault::StopsNothing => {
                     body.orders.retain(|o| !matches!(o, Order::Stop { .. }));
                 }
+                Effect::Direct { body, .. } => self.plant_starts(fault, &mut body.orders),
                 Effect::Peer {
                     to,
                     message:
--- a/tests/sim/rules.rs
+++ b/tests/sim/rules.rs
@@ -15,13 +15,16 @@
     pub failures: usize,
     pub stops: usize,
     pub first_start: BTreeMap<String, u64>,
+    /// When a task of each job last began.
+    pub last_start: BTreeMap<String, u64>,
     /// Replica seconds missed by each service whose replicas all ran once.
     pub missed: BTreeMap<String, u64>,
     limits: BTreeMap<String, f64>,
     cancel: u64,
 }
 
-fn job_of(task: &str) -> &str {
+/// The job of a task.
+pub fn job_of(task: &str) -> &str {
     task.rsplit_once('/').map_or(task, |x| x.0)
 }
 
@@ -34,6 +37,7 @@
             failures: 0,
             stops: 0,
             first_start: BTreeMap::new(),
+            last_start: BTreeMap::new(),
             missed: BTreeMap::new(),
             limits: script
                 .base
@@ -47,6 +51,11 @@
         }
     }
 
+    /// What a team's tasks may take, if that is limited.
+    pub fn limit(&self, team: &str) -> Option<f64> {
+        self.limits.get(team).copied()
+    }
+
     /// Once a second: which replicas of services that ran in full are missing.
     pub fn look_at_services(&mut self, now: u64, workers: &BTreeMap<String, Worker>, users: &BTreeMap<String, User>) {
         let mut on: BTreeMap<&str, u64> = BTreeMap::new();
@@ -78,6 +87,7 @@
     ) {
         self.starts += 1;
         self.first_start.entry(task.into()).or_insert(now);
+        self.last_start.insert(job_of(task).into(), now);
         for w in workers.values().filter(|w| w.name != machine) {
             if w.on_machine().any(|t| t == task) {
                 self.broken.push(format!(
@@ -188,13 +198,6 @@
                 "orphaned: {job} is called {phase:?} at {now}, one before it was cancelled at {before:?}"
             ));
         }
-        if user.done.is_some() && phase != Phase::Done {
-            self.broken.push(format!("went_back: {job} was done, now {phase:?}"));
-        }
-        if user.cancelled.is_some() && phase != Phase::Cancelled {
-            self.broken
-                .push(format!("went_back: {job} was cancelled, now {phase:?}"));
-        }
         if phase == Phase::Cancelled && !user.wants_abort && !Self::abort_before(user, users) {
             self.broken
                 .push(format!("went_back: {job} is called cancelled by nobody"));
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -69,6 +69,15 @@
     Garbage(String),
     /// The state service has its lower limits from now on.
     StateLimits,
+    /// So many jobs that run and have long to go are called off within a fifth of a second,
+    /// up to eight of their machines hanging for so long.
+    CancelNow(usize, Option<u64>),
+    /// So large a share of the jobs that end is called off at the moment of the end.
+    CancelAtEnd(f64),
+    /// Users repeat unfinished submissions, cancel done jobs and send what can't be accepted.
+    OddRequests,
+    /// Users ask all nodes at once, again and again, when a job is accepted, ends or is cancelled.
+    CloseLooks,
 }
 
 #[derive(Clone, Debug)]
@@ -235,6 +244,7 @@
             Act::LateReports(_) => s.at + s.lasts.unwrap_or(0) + 2 * self.lease(),
             Act::LateWrites(..) | Act::LoseTxn(_) => s.at + s.lasts.unwrap_or(0) + 12 * SEC,
             Act::HoldDirect(late) => s.at + s.lasts.unwrap_or(0) + late,
+            Act::CancelNow(_, hangs) => s.at + hangs.unwrap_or(0) + SEC,
             Act::Crash(_) | Act::CrashOn(_) => s.at + s.lasts.unwrap_or(3 * SEC),
             _ => s.at + s.lasts.unwrap_or(0),
         };
@@ -401,6 +411,13 @@
                     "old-release" => Act::OldRelease(w.word(3)?.into()),
                     "garbage" => Act::Garbage(w.word(3)?.into()),
                     "state-limits" => Act::StateLimits,
+                    "cancel-now" => {
+                        let hangs = w.named.get("hang").map(|hang| secs(hang)).transpose()?;
+                        Act::CancelNow(count()?, hangs)
+                    }
+                    "cancel-at-end" => Act::CancelAtEnd(w.word(3)?.parse().map_err(|_| "share")?),
+                    "odd-requests" => Act::OddRequests,
+                    "close-looks" => Act::CloseLooks,
                     "storm" => Act::Storm(w.word(3)?.parse().map_err(|_| "factor")?),
                     other => return Err(format!("unknown act {other}")),
                 };
--- /dev/null
+++ b/tests/sim/starving.rs
@@ -0,0 +1,170 @@
+//! Jobs left waiting, once all troubles are over, while a machine that fits has room and
+//! their team is under its limit. Worked out from machines and submissions alone.
+
+use super::rules::job_of;
+use super::users::User;
+use super::workers::Worker;
+use super::{World, SEC};
+use glenhaven::protocol::users::Spec;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How long a job may wait like this.
+const MOST: u64 = 90 * SEC;
+
+#[derive(Default)]
+pub struct Starving {
+    /// Since when a job has waited with room for it, all the time.
+    since: BTreeMap<String, u64>,
+    told: BTreeSet<String>,
+}
+
+/// Where the tasks of all jobs are.
+struct Places<'a> {
+    /// Of each job, how many of its tasks are in each zone.
+    by_job: BTreeMap<&'a str, BTreeMap<&'a str, u32>>,
+    /// What each team's tasks take.
+    by_team: BTreeMap<&'a str, f64>,
+}
+
+impl Places<'_> {
+    fn of(world: &World) -> Places<'_> {
+        let mut places = Places {
+            by_job: BTreeMap::new(),
+            by_team: BTreeMap::new(),
+        };
+        for worker in world.workers.values().filter(|w| !w.dead) {
+            for job in worker.live().map(job_of) {
+                let zones = places.by_job.entry(job).or_default();
+                *zones.entry(&worker.zone).or_default() += 1;
+                if let Some(user) = world.users.get(job) {
+                    *places.by_team.entry(&user.spec.team).or_default() += user.spec.cpus;
+                }
+            }
+        }
+        places
+    }
+}
+
+/// How many more tasks of this job a machine has room for.
+fn room(world: &World, worker: &Worker, spec: &Spec) -> u32 {
+    let usable = worker.up && world.now >= worker.hangs_until && worker.taken.is_none() && !worker.faulty;
+    let allowed = spec.types.as_ref().is_none_or(|t| t.contains(&worker.machine_type))
+        && spec.zone.as_ref().is_none_or(|zone| *zone == worker.zone)
+        && (spec.spot || !worker.spot);
+    if !usable || !allowed {
+        return 0;
+    }
+    let (cpus, memory) = worker.free(&world.users);
+    ((cpus + 1e-9) / spec.cpus).min((memory + 1e-9) / spec.memory.max(1e-9)) as u32
+}
+
+/// How many tasks of a job have completed.
+fn done(world: &World, job: &str) -> u32 {
+    let all = world.results.range(format!("{job}/")..format!("{job}0"));
+    all.count() as u32
+}
+
+/// Whether a job waits that could begin.
+fn waits(world: &World, user: &User) -> bool {
+    let need_done = |need: &String| {
+        let needed = world.users.get(need);
+        needed.is_some_and(|u| done(world, need) == u.spec.tasks)
+    };
+    let over = user.wants_abort || user.cancelled.is_some() || user.done.is_some() || user.mistake;
+    user.accepted.is_some() && !over && user.spec.needs.iter().all(need_done)
+}
+
+/// Whether the machines have room for what waits of this job, its zones and team allow it.
+fn could_begin(world: &World, places: &Places, spec: &Spec) -> bool {
+    let none = BTreeMap::new();
+    let zones = places.by_job.get(spec.id.as_str()).unwrap_or(&none);
+    let placed: u32 = zones.values().sum();
+    let waiting = spec.tasks.saturating_sub(placed + done(world, &spec.id));
+    if waiting == 0 {
+        return false;
+    }
+    // A gang begins as a whole.
+    let count = if spec.one_zone { waiting } else { 1 };
+    let held = places.by_team.get(spec.team.as_str()).copied().unwrap_or(0.0);
+    let limit = world.rules.limit(&spec.team);
+    if limit.is_some_and(|limit| held + f64::from(count) * spec.cpus > limit + 1e-9) {
+        return false;
+    }
+    let mut rooms: BTreeMap<&str, u32> = BTreeMap::new();
+    for worker in world.workers.values() {
+        *rooms.entry(&worker.zone).or_default() += room(world, worker, spec);
+    }
+    rooms.into_iter().any(|(zone, room)| {
+        let here = zones.get(zone).copied().unwrap_or(0);
+        let zone_allowed = !spec.one_zone || placed == here;
+        let spread = !spec.spread || here < spec.tasks.div_ceil(2);
+        room >= count && zone_allowed && spread
+    })
+}
+
+impl World {
+    /// Once a second.
+    pub fn look_for_starving(&mut self) {
+        let mut starving = std::mem::take(&mut self.starving);
+        starving.look(self);
+        for job in starving.since.iter().filter(|(_, since)| self.now > **since + MOST) {
+            if starving.told.insert(job.0.clone()) {
+                self.rules
+                    .broken
+                    .push(format!("left waiting: {} since {} with room", job.0, job.1));
+            }
+        }
+        self.starving = starving;
+    }
+}
+
+impl Starving {
+    fn look(&mut self, world: &World) {
+        if world.now < world.script.calm_from() {
+            return;
+        }
+        let places = Places::of(world);
+        let begun = |id: &str| world.rules.last_start.get(id).copied().unwrap_or(0);
+        let mut waiting = BTreeMap::new();
+        for (id, user) in world.users.iter().filter(|(_, u)| waits(world, u)) {
+            if could_begin(world, &places, &user.spec) {
+                let since = self.since.get(id).copied().unwrap_or(world.now);
+                waiting.insert(id.clone(), since.max(begun(id)));
+            }
+        }
+        self.since = waiting;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::script::Script;
+    use super::*;
+
+    /// A job that nobody places although a machine has room for it.
+    #[test]
+    fn a_job_left_waiting_is_told() {
+        let text =
+            "until 250\nteam blue max=4\nat 1 submit run-000001 service cores=2\nat 30 submit run-000002 service";
+        let play = |change: fn(&mut Spec), inherits: bool| {
+            let mut world = World::new(Script::parse(text).unwrap());
+            world.play();
+            assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
+            let mut spec = super::super::script::plain_spec("run-000003");
+            change(&mut spec);
+            let mut user = User::new(spec, 10.0, false);
+            user.accepted = inherits.then_some(1);
+            world.users.insert("run-000003".into(), user);
+            for _ in 0..95 {
+                world.now += SEC;
+                world.look_for_starving();
+            }
+            world.rules.broken.len()
+        };
+        assert_eq!(play(|_| {}, true), 1);
+        assert_eq!(play(|_| {}, false), 0, "it was not accepted");
+        assert_eq!(play(|s| s.cpus = 2.0, true), 0, "its team is at its limit");
+        assert_eq!(play(|s| s.zone = Some("z".into()), true), 0, "no machine fits");
+        assert_eq!(play(|s| s.memory = 64.0, true), 0, "no machine has room");
+    }
+}
--- a/tests/sim/users.rs
+++ b/tests/sim/users.rs
@@ -1,5 +1,7 @@
 //! A stand-in for users and the load balancer.
 
+use super::answers::Answer;
+use super::looks::Moment;
 use super::{Ev, Origin, World, SEC};
 use glenhaven::coordination::{Command, UserRequest};
 use glenhaven::protocol::users::{JobState, Phase, Spec};
@@ -7,7 +9,7 @@
 use glenhaven::transport::server::Outgoing;
 
 #[derive(Clone, Copy, PartialEq, Debug)]
-enum Asked {
+pub enum Asked {
     Submit,
     Poll,
     Abort,
@@ -31,6 +33,8 @@
     pub done: Option<u64>,
     pub first_running: Option<u64>,
     asked: Option<(u64, Asked)>,
+    /// When that was sent.
+    sent: u64,
     /// The controller that was asked.
     node: Option<usize>,
     failed_since: Option<u64>,
@@ -56,6 +60,7 @@
             done: None,
             first_running: None,
             asked: None,
+            sent: 0,
             node: None,
             failed_since: None,
             silent: 0,
@@ -113,6 +118,7 @@
             (Asked::Poll, UserRequest::Poll(job.into()), 2 * SEC)
         };
         user.asked = Some((rid, asked));
+        user.sent = self.now;
         user.node = pick;
         self.after(limit, Ev::UserLate(job.into(), rid));
         if let Some(n) = pick {
@@ -144,44 +150,20 @@
             return;
         };
         user.asked = None;
-        let state: Option<JobState> = from_cbor(&answer.body).ok();
-        let status = answer.status;
-        if status == 503 && answer.retry_after_s.is_none() {
-            self.rules.broken.push(format!("{job}: refused without Retry-After"));
-        }
         if user.stranger {
-            if status == 200 {
+            if answer.status == 200 {
                 self.rules.broken.push(format!("invented: {job} answered 200"));
             }
             return;
         }
-        let known = user.accepted.is_some();
-        match (status, state) {
-            (200 | 201, Some(state)) => {
-                user.failed_since = None;
-                user.accepted.get_or_insert(now);
-                let user = &self.users[job];
-                self.rules.told(now, job, state.phase, &self.results, user, &self.users);
-                let Some(user) = self.users.get_mut(job) else { return };
-                match state.phase {
-                    Phase::Done => {
-                        user.done.get_or_insert(now);
-                    }
-                    Phase::Cancelled => {
-                        user.cancelled.get_or_insert(left);
-                    }
-                    Phase::Running => {
-                        user.first_running.get_or_insert(now);
-                    }
-                    Phase::Pending => {}
-                }
-            }
-            (404, _) if known => self
-                .rules
-                .broken
-                .push(format!("forgotten: {job} answered 404 to {asked:?}")),
-            (400 | 422, _) if known => self.rules.broken.push(format!("forgotten: {job} answered {status}")),
-            (400 | 422, _) => user.refused = Some(status),
+        let (known, sent) = (user.accepted.is_some(), user.sent);
+        if self.heard(job, asked, sent, left, &answer) {
+            return self.user_goes_on(job, asked, answer.status);
+        }
+        let Some(user) = self.users.get_mut(job) else { return };
+        match answer.status {
+            400 | 422 if !known => user.refused = Some(answer.status),
+            400 | 404 | 422 if known => {}
             _ => {
                 let since = *user.failed_since.get_or_insert(now);
                 user.silent = user.silent.max(now.saturating_sub(since.max(calm)));
@@ -192,6 +174,60 @@
                 }
             }
         }
+        self.user_goes_on(job, asked, answer.status);
+    }
+
+    /// Takes in any answer about a job: whether it says the job's state.
+    pub fn heard(&mut self, job: &str, asked: Asked, sent: u64, left: u64, answer: &Outgoing) -> bool {
+        let now = self.now;
+        let status = answer.status;
+        let state: Option<JobState> = from_cbor(&answer.body).ok();
+        let state = state.filter(|_| matches!(status, 200 | 201));
+        if status == 503 && answer.retry_after_s.is_none() {
+            self.rules.broken.push(format!("{job}: refused without Retry-After"));
+        }
+        let told = Answer {
+            asked: sent,
+            left,
+            status,
+            phase: state.as_ref().map(|s| s.phase),
+        };
+        self.rules.broken.extend(self.answers.heard(job, &told));
+        let (Some(user), Some(state)) = (self.users.get(job), state) else {
+            return false;
+        };
+        if asked == Asked::Submit {
+            self.rules.broken.extend(self.answers.accepted(&to_cbor(&user.spec)));
+        }
+        self.rules.told(now, job, state.phase, &self.results, user, &self.users);
+        let Some(user) = self.users.get_mut(job) else {
+            return true;
+        };
+        user.failed_since = None;
+        let accepted = user.accepted.replace(user.accepted.unwrap_or(now)).is_none();
+        let cancelled = state.phase == Phase::Cancelled && user.cancelled.is_none();
+        match state.phase {
+            Phase::Done => {
+                user.done.get_or_insert(now);
+            }
+            Phase::Cancelled => {
+                user.cancelled.get_or_insert(left);
+            }
+            Phase::Running => {
+                user.first_running.get_or_insert(now);
+            }
+            Phase::Pending => {}
+        }
+        if cancelled {
+            self.look_closely(job, Moment::Cancelled);
+        } else if accepted {
+            self.look_closely(job, Moment::Accepted);
+        }
+        true
+    }
+
+    /// The next question, after a while.
+    fn user_goes_on(&mut self, job: &str, asked: Asked, status: u16) {
         let user = &self.users[job];
         let pause = match asked {
             _ if status == 503 => SEC,
--- a/tests/sim/workers.rs
+++ b/tests/sim/workers.rs
@@ -1,5 +1,8 @@
 //! A stand-in for workers.
 
+use super::answers::Carrier;
+use super::rules::job_of;
+use super::users::User;
 use super::{Ev, World, MS, SEC};
 use glenhaven::coordination::{Command, DirectAnswer};
 use glenhaven::protocol::cloud::MachineType;
@@ -115,6 +118,27 @@
         }
     }
 
+    /// Running tasks that don't end before this.
+    pub fn long_to_go(&self, until: u64) -> impl Iterator<Item = &str> {
+        let runs = move |t: &Task| t.phase == TaskPhase::Running && t.until > until;
+        let long = self.tasks.iter().filter(move |(_, t)| runs(t));
+        long.map(|((task, _), _)| task.as_str())
+    }
+
+    /// Tasks that have not exited.
+    pub fn live(&self) -> impl Iterator<Item = &str> {
+        let live = self.tasks.iter().filter(|(_, t)| t.phase != TaskPhase::Exited);
+        live.map(|((task, _), _)| task.as_str())
+    }
+
+    /// The cores and memory that these tasks leave.
+    pub fn free(&self, users: &BTreeMap<String, User>) -> (f64, f64) {
+        let specs = self.live().filter_map(|task| users.get(job_of(task)));
+        specs.fold((self.cpus, self.memory), |(cpus, memory), user| {
+            (cpus - user.spec.cpus, memory - user.spec.memory)
+        })
+    }
+
     /// Tasks that have their image and have not exited.
     pub fn on_machine(&self) -> impl Iterator<Item = &str> {
         self.tasks
@@ -125,6 +149,14 @@
 }
 
 impl World {
+    /// A machine hangs until then.
+    pub fn hang(&mut self, name: &str, until: u64) {
+        if let Some(w) = self.workers.get_mut(name) {
+            w.hangs_until = w.hangs_until.max(until);
+            self.after(until - self.now, Ev::Worker(name.into()));
+        }
+    }
+
     pub fn boot(&mut self, name: &str) {
         let now = self.now;
         let nodes = self.nodes.len();
@@ -166,14 +198,15 @@
         if now > w.answered + lease {
             self.rules.lease_kills += w.tasks.len();
             w.tasks.clear();
+            self.answers.session_ended(name);
             w.session += 1;
             w.answered = now;
             w.flying = None;
             w.changed(now);
         }
-        let mut started = vec![];
+        let (mut started, mut ended) = (vec![], vec![]);
         let mut changed = false;
-        for ((task, _), t) in &mut w.tasks {
+        for ((task, attempt), t) in &mut w.tasks {
             if now < t.until {
                 continue;
             }
@@ -191,7 +224,7 @@
                         continue;
                     }
                     t.phase = TaskPhase::Running;
-                    started.push(task.clone());
+                    started.push((task.clone(), *attempt));
                     t.until = match user {
                         Some(u) if u.spec.shape == Shape::Array => now + u.run * w.slowness,
                         _ => u64::MAX,
@@ -208,6 +241,7 @@
                     t.cause = Some(if fails { Cause::Error } else { Cause::Done });
                     if !fails {
                         self.results.insert(task.clone());
+                        ended.push(task.clone());
                     }
                 }
                 TaskPhase::Saving => {
@@ -252,7 +286,11 @@
             self.after(hop, Ev::Report(name.into(), node, rid, report));
             self.after(4 * SEC, Ev::ReportLate(name.into(), rid));
         }
-        for task in started {
+        for task in ended {
+            self.task_ended(&task);
+        }
+        for (task, attempt) in started {
+            self.rules.broken.extend(self.answers.started(name, &task, attempt));
             self.rules.started(now, name, &task, &self.workers, &self.users);
             self.rules.started_in_order(&task, &self.users, &self.results);
         }
@@ -293,6 +331,8 @@
                 w.answered = w.answered.max(sent);
                 w.fence = orders.fence;
                 self.execute(name, &orders.orders);
+                let carrier = Carrier::Answer(name.into(), rid);
+                self.answers.executed(&carrier, name, &orders.orders);
                 if let Some(w) = self.workers.get_mut(name) {
                     if w.fence > w.fence_told {
                         w.changed(now);
@@ -345,15 +385,7 @@
                     let user = self.users.get(job).filter(|u| u.submitted);
                     let live = |t: &Task| t.phase != TaskPhase::Exited;
                     let busy = w.tasks.iter().any(|((t, _), x)| t == task && live(x));
-                    let (mut cpus, mut memory) = (w.cpus, w.memory);
-                    for ((t, _), x) in &w.tasks {
-                        if let Some(u) = self.users.get(t.rsplit_once('/').map_or("", |x| x.0)) {
-                            if live(x) {
-                                cpus -= u.spec.cpus;
-                                memory -= u.spec.memory;
-                            }
-                        }
-                    }
+                    let (cpus, memory) = w.free(&self.users);
                     let refuse = match user {
                         None => Some(Cause::Unknown),
                         Some(_) if busy => Some(Cause::Busy),
@@ -401,6 +433,7 @@
                     let key = (task.clone(), *attempt);
                     if w.tasks.get(&key).is_some_and(|t| t.phase == TaskPhase::Exited) {
                         w.tasks.remove(&key);
+                        self.answers.forgotten(name, task, *attempt);
                     }
                 }
             }
@@ -444,6 +477,8 @@
         if good {
             w.fence = body.fence;
             self.execute(&name, &body.orders);
+            let carrier = Carrier::Direct((n, life), id);
+            self.answers.executed(&carrier, &name, &body.orders);
         }
         let Some(w) = self.workers.get_mut(&name) else { return };
         let report = w.report(now);
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -11,42 +11,6 @@
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
-fn settings(public: u16, peer: u16, state: u16, cloud: u16) -> String {
-    format!(
-        r#"
-node = "worker-0"
-zone = "a"
-public_addr = "127.0.0.1:{public}"
-peer_bind = "127.0.0.1:{peer}"
-something_new = true
-[services]
-cloud = "127.0.0.1:{cloud}"
-state = "127.0.0.1:{state}"
-[params]
-size = 1
-[[params.teams]]
-name = "blue"
-cpus_max = 20.0
-[params.workers]
-report_s = 1.0
-lease_s = 10.0
-cancel_s = 40.0
-[params.state]
-rps = 200.0
-write_rps = 100.0
-value_kb = 8.0
-txn_ops = 24
-[params.cloud]
-rps = 8.0
-list_lag_s = 1.0
-[params.resources]
-cpu = 0.2
-mem_mb = 100.0
-sockets = 100
-"#
-    )
-}
-
 #[test]
 fn a_process_behind_sockets() {
     let (store, state_port, cloud_port) = stand_ins(16.0, 20.0);
@@ -64,14 +28,7 @@
         .unwrap();
     let _process = Process(child);
     future::block_on(async {
-        let began = Instant::now();
-        while !matches!(
-            raw(public, b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n".to_vec()).await,
-            Some((200, _, _))
-        ) {
-            assert!(began.elapsed() < Duration::from_secs(20), "never ready");
-            Timer::after(Duration::from_millis(50)).await;
-        }
+        ready(public).await;
         // What cannot be taken.
         let good = job("run-000001", 2, 1.0);
         let bad: Vec<(&str, Value)> = vec![
