Scenario runner: verbs for troubles of machines and of the state service

Cause: nine troubles of the list of meetings could not be brought about. Change: tests/sim/troubles.rs: write answers lost at once, reports kept for the next leader, machines that reach nobody, commands held up, direct answers held, deaths in one zone, a slow state service; fetch rates of types, sizes of images. They join the search, whose worlds now also have teams all at their limits and four one-task jobs a second.

--- a/tests/sim/meetings.rs
+++ b/tests/sim/meetings.rs
@@ -8,6 +8,7 @@
 
 use super::planted::{Fault, ALL};
 use super::script::Script;
+use super::troubles;
 use super::World;
 use std::fmt::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -47,6 +48,19 @@
     "crash-on term for {q}\ncrash-on job/ for {q}\ncrash-on open/ for {q}",
     "state-limits",
 ];
+/// What worlds differ in: ordinary ones; teams that are all at their limits; one-task jobs that
+/// come four a second for two minutes, of which a quarter are cancelled.
+const WORLDS: [&str; 4] = [
+    "team blue\n",
+    "team blue\n",
+    "team blue cpus=20 max=40\n",
+    "team blue\n\
+     at 24 submit run-000700 every=0.25 times=480 run=4 estimate=4\n\
+     at 24.3 abort run-000700 every=3 step=12 times=40\n\
+     at 27.5 abort run-000704 every=3 step=12 times=40\n\
+     at 31.5 abort run-000708 every=3 step=12 times=40\n",
+];
+
 /// What is written, by the beginnings of keys: acceptances, ends of jobs, the book and rentals,
 /// terms, releases and limits, machines kept for a leader that can't hear them.
 const WRITES: [&str; 6] = ["job/@", "job/run", "open/", "term", "term-", "care/"];
@@ -70,7 +84,8 @@
 /// The same without its troubles, the first of which begins at this second.
 fn world(seed: u64, first: f64, rng: &mut fastrand::Rng) -> String {
     let mut t = format!("# Meeting {seed}.\nseed {seed}\nuntil {UNTIL}\nnodes a b a b a\n");
-    t.push_str("state-next writes=50 value_kb=8 ops=16\nteam blue\nteam red cpus=4 max=6\n");
+    t.push_str("state-next writes=50 value_kb=8 ops=16\nteam red cpus=4 max=6\n");
+    t.push_str(WORLDS[rng.usize(0..WORLDS.len())]);
     if rng.bool() {
         t.push_str("held-packets\n");
     }
@@ -146,7 +161,8 @@
     let mut out = false;
     let mut at = first;
     for _ in 0..count {
-        let mut kind = KINDS[rng.usize(0..KINDS.len())];
+        let kinds = [&KINDS[..], &troubles::KINDS[..]].concat();
+        let mut kind = kinds[rng.usize(0..kinds.len())];
         // Two long outages would be one in which nobody is answered for as long as a job
         // takes to be forgotten.
         if out && kind.contains("state-out") {
@@ -222,7 +238,8 @@
     if planted.is_none() {
         // What was not cancelled is done long after the last trouble.
         for (id, user) in &world.users {
-            if id.starts_with("run-0005") && !user.wants_abort && user.done.is_none() {
+            let small = ("run-000500".."run-000600").contains(&id.as_str()) || id.as_str() >= "run-000700";
+            if small && !user.wants_abort && user.done.is_none() {
                 wrong.push(format!("{id} is not done at the end"));
             }
         }
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -13,6 +13,7 @@
 pub mod script;
 pub mod shares;
 pub mod store;
+pub mod troubles;
 pub mod users;
 pub mod workers;
 
@@ -110,6 +111,7 @@
     pub trap: Option<(usize, u64)>,
     /// The next controller that writes such a key ends before it hears of it, for so long.
     pub ends_on: Vec<(String, u64)>,
+    pub lasting: troubles::Lasting,
 }
 
 impl Broken {
@@ -364,6 +366,7 @@
         };
         let effects = core.handle(now, batch);
         let effects = self.plant(n, effects);
+        self.notice_leader(n);
         let asks =
             |e: &Effect| matches!(e, Effect::Store { request, .. } if matches!(request, StoreRequest::Grant { .. }));
         if effects.iter().any(asks) {
@@ -420,8 +423,7 @@
                 } => {
                     let answer = glenhaven::coordination::DirectAnswer::Unknown;
                     self.after(timeout.0, Ev::Command(n, life, Command::Direct { id, answer }));
-                    let held = self.broken.hold_direct.values().copied().max().unwrap_or(0);
-                    self.after(hop + held, Ev::Direct(n, life, id, addr, body));
+                    self.send_direct(n, life, id, hop, addr, body);
                 }
                 Effect::Peer { to, message } => {
                     let Some(other) = self.nodes.iter().position(|x| x.settings.node == to) else {
@@ -614,6 +616,7 @@
                 self.tell_watches();
             }
             Act::StateLimits => self.store.lower(),
+            Act::Trouble(trouble) => self.begin_trouble(i, &trouble),
             Act::Storm(factor) => {
                 self.broken.storm.insert(i, factor);
                 let all: Vec<String> = self.users.keys().cloned().collect();
@@ -664,6 +667,7 @@
         b.slow_answers.remove(&i);
         b.boots.remove(&i);
         b.storm.remove(&i);
+        b.lasting.heal(i);
         if self.broken.state_out.is_empty() {
             self.store.outage(false, self.now);
         }
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -1,5 +1,6 @@
 //! Scenario files: what the world is like, what happens, what is expected.
 
+use super::troubles::Trouble;
 use super::SEC;
 use glenhaven::protocol::cloud::MachineType;
 use glenhaven::protocol::users::{Priority, Shape, Spec};
@@ -69,6 +70,7 @@
     Garbage(String),
     /// The state service has its lower limits from now on.
     StateLimits,
+    Trouble(Trouble),
 }
 
 #[derive(Clone, Debug)]
@@ -191,25 +193,26 @@
     Ok((s * SEC as f64) as u64)
 }
 
-struct Words<'a> {
+/// A line's words, and what it names as `name=value`.
+pub struct Words<'a> {
     plain: Vec<&'a str>,
-    named: BTreeMap<&'a str, &'a str>,
+    pub named: BTreeMap<&'a str, &'a str>,
 }
 
 impl<'a> Words<'a> {
-    fn num<T: std::str::FromStr>(&self, name: &str, default: T) -> Result<T, String> {
+    pub fn num<T: std::str::FromStr>(&self, name: &str, default: T) -> Result<T, String> {
         match self.named.get(name) {
             None => Ok(default),
             Some(v) => v.parse().map_err(|_| format!("{name}: \"{v}\"")),
         }
     }
-    fn word(&self, i: usize) -> Result<&'a str, String> {
+    pub fn word(&self, i: usize) -> Result<&'a str, String> {
         self.plain
             .get(i)
             .copied()
             .ok_or_else(|| "a word is missing".to_string())
     }
-    fn has(&self, word: &str) -> bool {
+    pub fn has(&self, word: &str) -> bool {
         self.plain.contains(&word)
     }
 }
@@ -235,6 +238,7 @@
             Act::LateReports(_) => s.at + s.lasts.unwrap_or(0) + 2 * self.lease(),
             Act::LateWrites(..) | Act::LoseTxn(_) => s.at + s.lasts.unwrap_or(0) + 12 * SEC,
             Act::HoldDirect(late) => s.at + s.lasts.unwrap_or(0) + late,
+            Act::Trouble(trouble) => s.at + s.lasts.unwrap_or(0) + trouble.lingers(),
             Act::Crash(_) | Act::CrashOn(_) => s.at + s.lasts.unwrap_or(3 * SEC),
             _ => s.at + s.lasts.unwrap_or(0),
         };
@@ -269,7 +273,7 @@
             s.team("blue", 0.0, 0.0);
         }
         if s.types.is_empty() {
-            s.machine_type("m", 16.0, 64.0, 20.0);
+            s.machine_type("m", 16.0, 64.0, 20.0, 0.5);
         }
         Ok(s)
     }
@@ -283,7 +287,7 @@
         });
     }
 
-    fn machine_type(&mut self, name: &str, cpus: f64, memory: f64, boot_s: f64) {
+    fn machine_type(&mut self, name: &str, cpus: f64, memory: f64, boot_s: f64, fetch_gb_per_s: f64) {
         let mut zones = self.zones.clone();
         zones.sort();
         zones.dedup();
@@ -293,7 +297,7 @@
             gpus: 0.0,
             memory,
             cache_gb: 20.0,
-            fetch_gb_per_s: 0.5,
+            fetch_gb_per_s,
             price: cpus * 0.06,
             spot_price: cpus * 0.02,
             boot_s,
@@ -349,7 +353,7 @@
             }
             "type" => {
                 let (cpus, mem, boot) = (w.num("cpus", 16.0)?, w.num("mem", 64.0)?, w.num("boot", 20.0)?);
-                self.machine_type(w.word(1)?, cpus, mem, boot);
+                self.machine_type(w.word(1)?, cpus, mem, boot, w.num("fetch", 0.5)?);
             }
             "at" => {
                 let at = secs(w.word(1)?)?;
@@ -371,17 +375,17 @@
                     "state-deaf" => Act::StateDeaf(w.word(3)?.parse().unwrap_or(usize::MAX)),
                     "cloud-out" => Act::CloudOut,
                     "lose-txn" => Act::LoseTxn(secs(w.word(3)?)?),
-                    "late-writes" => {
+                    "late-writes" if !w.has("at-once") => {
                         let prefix = w.named.get("key").unwrap_or(&"");
                         Act::LateWrites(w.word(3)?.parse().map_err(|_| "share")?, prefix.to_string())
                     }
-                    "late-reports" => Act::LateReports(w.word(3)?.parse().map_err(|_| "share")?),
+                    "late-reports" if !w.has("for-next") => Act::LateReports(w.word(3)?.parse().map_err(|_| "share")?),
                     "hold-direct" => Act::HoldDirect(secs(w.word(3)?)?),
                     "cut" => Act::Cut(count()?),
                     "zone-cut" => Act::ZoneCut(w.word(3)?.into(), w.word(4)?.into()),
                     "zone-off" => Act::ZoneOff(w.word(3)?.into()),
                     "hang" => Act::Hang(count()?),
-                    "kill" => Act::Kill(count()?),
+                    "kill" if !w.named.contains_key("zone") => Act::Kill(count()?),
                     "notice" => Act::Notice(w.word(3)?.parse().map_err(|_| "seconds")?),
                     "faulty" => Act::Faulty(count()?),
                     "slow" => Act::Slow(count()?),
@@ -402,10 +406,10 @@
                     "garbage" => Act::Garbage(w.word(3)?.into()),
                     "state-limits" => Act::StateLimits,
                     "storm" => Act::Storm(w.word(3)?.parse().map_err(|_| "factor")?),
-                    other => return Err(format!("unknown act {other}")),
+                    _ => Act::Trouble(Trouble::parse(&w)?),
                 };
                 // `every=s times=n`: again and again. `copies=n`: jobs with the following
-                // numbers as well.
+                // numbers as well. `step=n`: of jobs that are cancelled, each n-th.
                 let (every, times) = (secs(w.named.get("every").unwrap_or(&"0"))?, w.num("times", 1u64)?);
                 for again in 0..times {
                     let at = at + again * every;
@@ -422,7 +426,7 @@
                         }
                         if let Act::Abort(job) = &mut act {
                             let number: u64 = job[4..].parse().map_err(|_| "a number is missing")?;
-                            *job = format!("run-{:06}", number + again);
+                            *job = format!("run-{:06}", number + again * w.num("step", 1u64)?);
                         }
                         let mistake = w.has("mistake");
                         self.steps.push(Step {
@@ -483,6 +487,7 @@
         spec.tasks = w.num("pieces", 1)?;
         spec.cpus = w.num("cores", 1.0)?;
         spec.memory = w.num("mem", 1.0)?;
+        spec.image_gb = w.num("image_gb", spec.image_gb)?;
         spec.save_s = w.num("save", 0.0)?;
         spec.estimate_s = w.num("estimate", spec.estimate_s)?;
         spec.one_zone = w.has("together");
--- a/tests/sim/store.rs
+++ b/tests/sim/store.rs
@@ -460,6 +460,7 @@
         let now = self.now;
         self.store.expire(now);
         let hop = self.hop();
+        let delay = self.state_delay(&request);
         let mut lost = false;
         // What comes late was taken in long ago: it is executed whatever happens meanwhile.
         let late = life == u64::MAX && matches!(request, StoreRequest::Txn(_));
@@ -512,6 +513,7 @@
                 }
                 self.store.answer(&request, now)
             } else {
+                lost = matches!(&request, StoreRequest::Txn(txn) if self.loses_answer(txn));
                 self.store.answer(&request, now)
             }
         };
@@ -526,7 +528,7 @@
         }
         self.tell_watches();
         if !lost && self.passes(&End::State, &End::Node(n)) {
-            self.after(hop, Ev::Command(n, life, Command::Store { id, answer }));
+            self.after(hop + delay, Ev::Command(n, life, Command::Store { id, answer }));
         }
     }
 
--- /dev/null
+++ b/tests/sim/troubles.rs
@@ -0,0 +1,255 @@
+//! Troubles of machines and of the state service that leave one direction or one kind of message
+//! open: a request is carried out and its answer lost, a machine reaches nobody and is reached.
+
+use super::script::Words;
+use super::{Ev, World, MS, SEC};
+use glenhaven::protocol::store::{StoreRequest, Txn};
+use glenhaven::protocol::workers::{Direct, Report};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Kinds of these for the search, written as in `meetings.rs`.
+pub const KINDS: [&str; 10] = [
+    "late-writes {h} at-once for {d}",
+    "late-writes {h} at-once key=open/ for {d}\ncrash leader for {q} later=3",
+    "late-reports {h} for-next for {d}\ncrash leader for {q} later=5",
+    "mute {m} for {d}",
+    "mute zone=b for {d}",
+    "late-commands {h} for {d}",
+    "hold-direct-answers {m} by={s} for {d}",
+    "kill {m} zone=a",
+    "state-slow {s} for {d}",
+    "boots 0.05 for 60\nkill {m} later=1",
+];
+
+/// Which machines a trouble is about.
+#[derive(Clone, Debug)]
+pub enum Which {
+    /// So many of those with most tasks.
+    Busiest(usize),
+    /// All of one zone.
+    Zone(String),
+    /// So many of those with most tasks in one zone.
+    BusiestIn(String, usize),
+}
+
+#[derive(Clone, Debug)]
+pub enum Trouble {
+    /// So large a share of the transactions that write a key that begins like this is carried
+    /// out at once, and only the answer is lost.
+    WriteAnswersLost(f64, String),
+    /// Of so large a share of reports a copy is kept, and reaches every controller as the next
+    /// leader begins.
+    ReportsForNext(f64),
+    /// Machines that can't connect to any controller, while direct commands reach them.
+    Mute(Which),
+    /// So large a share of direct commands is held 2 to 16 s, unanswered, and carried out once.
+    LateCommands(f64),
+    /// Machines that carry out direct commands at once and answer up to so much later.
+    HeldDirectAnswers(Which, u64),
+    /// Machines die without a word.
+    Kill(Which),
+    /// The state service answers up to so much later.
+    SlowState(u64),
+}
+
+impl Which {
+    fn parse(words: &Words) -> Result<Which, String> {
+        let count = words.word(3).and_then(|n| n.parse().map_err(|_| "count".into()));
+        match (words.named.get("zone"), count) {
+            (Some(zone), Ok(count)) => Ok(Which::BusiestIn(zone.to_string(), count)),
+            (Some(zone), Err(_)) => Ok(Which::Zone(zone.to_string())),
+            (None, count) => count.map(Which::Busiest),
+        }
+    }
+}
+
+impl Trouble {
+    /// The trouble that this line of a scenario names.
+    pub fn parse(words: &Words) -> Result<Trouble, String> {
+        let share = || words.word(3)?.parse::<f64>().map_err(|_| "share".to_string());
+        Ok(match words.word(2)? {
+            "late-writes" => {
+                let prefix = words.named.get("key").unwrap_or(&"");
+                Trouble::WriteAnswersLost(share()?, prefix.to_string())
+            }
+            "late-reports" => Trouble::ReportsForNext(share()?),
+            "mute" => Trouble::Mute(Which::parse(words)?),
+            "late-commands" => Trouble::LateCommands(share()?),
+            "hold-direct-answers" => {
+                let by: f64 = words.num("by", 10.0)?;
+                Trouble::HeldDirectAnswers(Which::parse(words)?, (by * SEC as f64) as u64)
+            }
+            "kill" => Trouble::Kill(Which::parse(words)?),
+            "state-slow" => Trouble::SlowState((share()? * SEC as f64) as u64),
+            other => return Err(format!("unknown act {other}")),
+        })
+    }
+
+    /// How much longer than the trouble itself lasts what it holds back may arrive.
+    pub fn lingers(&self) -> u64 {
+        match self {
+            Trouble::LateCommands(_) => 16 * SEC,
+            Trouble::HeldDirectAnswers(_, by) | Trouble::SlowState(by) => *by,
+            _ => 0,
+        }
+    }
+}
+
+/// Those of these troubles that last just now, by the step that began them.
+#[derive(Default)]
+pub struct Lasting {
+    lost_answers: BTreeMap<usize, (f64, String)>,
+    kept_reports: BTreeMap<usize, f64>,
+    mute: BTreeMap<usize, BTreeSet<String>>,
+    late_commands: BTreeMap<usize, f64>,
+    held_answers: BTreeMap<usize, (BTreeSet<String>, u64)>,
+    slow_state: BTreeMap<usize, u64>,
+    /// Copies of reports for the next leader.
+    kept: Vec<Report>,
+    /// The controller that led last, and its life.
+    led: Option<(usize, u64)>,
+}
+
+impl Lasting {
+    /// This step's trouble is over; what is kept for the next leader stays.
+    pub fn heal(&mut self, step: usize) {
+        self.lost_answers.remove(&step);
+        self.kept_reports.remove(&step);
+        self.mute.remove(&step);
+        self.late_commands.remove(&step);
+        self.held_answers.remove(&step);
+        self.slow_state.remove(&step);
+    }
+}
+
+impl World {
+    fn machines(&self, which: &Which) -> BTreeSet<String> {
+        let all = self.busiest(usize::MAX).into_iter();
+        let in_zone = |name: &String, zone: &String| self.workers[name].zone == *zone;
+        match which {
+            Which::Busiest(count) => self.busiest(*count),
+            Which::Zone(zone) => all.filter(|name| in_zone(name, zone)).collect(),
+            Which::BusiestIn(zone, count) => {
+                let mut names: Vec<String> = all.filter(|name| in_zone(name, zone)).collect();
+                names.sort_by_key(|name| std::cmp::Reverse(self.workers[name].tasks.len()));
+                names.into_iter().take(*count).collect()
+            }
+        }
+    }
+
+    /// The trouble of this step begins.
+    pub fn begin_trouble(&mut self, step: usize, trouble: &Trouble) {
+        match trouble {
+            Trouble::WriteAnswersLost(share, prefix) => {
+                self.broken.lasting.lost_answers.insert(step, (*share, prefix.clone()));
+            }
+            Trouble::ReportsForNext(share) => {
+                self.broken.lasting.kept_reports.insert(step, *share);
+            }
+            Trouble::Mute(which) => {
+                let machines = self.machines(which);
+                self.broken.lasting.mute.insert(step, machines);
+            }
+            Trouble::LateCommands(share) => {
+                self.broken.lasting.late_commands.insert(step, *share);
+            }
+            Trouble::HeldDirectAnswers(which, by) => {
+                let machines = self.machines(which);
+                self.broken.lasting.held_answers.insert(step, (machines, *by));
+            }
+            Trouble::Kill(which) => {
+                for name in self.machines(which) {
+                    self.machine_dies(&name);
+                }
+            }
+            Trouble::SlowState(by) => {
+                self.broken.lasting.slow_state.insert(step, *by);
+            }
+        }
+    }
+
+    /// Whether so large a share, drawn anew each time, includes this message.
+    fn drawn(&mut self, share: f64) -> bool {
+        share > 0.0 && self.rng.f64() < share
+    }
+
+    /// Whether this transaction is carried out and its sender hears nothing.
+    pub fn loses_answer(&mut self, txn: &Txn) -> bool {
+        let writes = |prefix: &str| txn.changes.iter().any(|c| c.key().starts_with(prefix));
+        let shares = self.broken.lasting.lost_answers.values();
+        let share = shares.filter(|(_, prefix)| writes(prefix)).map(|(share, _)| *share);
+        let share = share.fold(0.0, f64::max);
+        self.drawn(share)
+    }
+
+    /// How much later than usual the state service answers this.
+    pub fn state_delay(&mut self, request: &StoreRequest) -> u64 {
+        let slow = self.broken.lasting.slow_state.values().copied().max().unwrap_or(0);
+        if slow == 0 || matches!(request, StoreRequest::Watch { .. }) {
+            return 0;
+        }
+        self.rng.u64(0..=slow)
+    }
+
+    /// Whether this machine reaches no controller; its attempt to connect fails then, at once
+    /// or when its time is over.
+    pub fn report_fails_to_leave(&mut self, name: &str, rid: u64) -> bool {
+        if !self.broken.lasting.mute.values().any(|m| m.contains(name)) {
+            return false;
+        }
+        let pause = if self.rng.bool() { MS } else { 4 * SEC };
+        self.after(pause, Ev::ReportLate(name.into(), rid));
+        true
+    }
+
+    /// Keeps a copy of a share of the reports for the next leader.
+    pub fn keep_for_next(&mut self, report: &Report) {
+        let shares = self.broken.lasting.kept_reports.values();
+        let share = shares.copied().fold(0.0, f64::max);
+        if self.drawn(share) {
+            self.broken.lasting.kept.push(report.clone());
+        }
+    }
+
+    /// Has what was kept reach every controller just as this one begins to lead.
+    pub fn notice_leader(&mut self, n: usize) {
+        let node = &self.nodes[n];
+        let leads = node.core.as_ref().is_some_and(|core| core.is_leader());
+        let life = Some((n, node.life));
+        if !leads || self.broken.lasting.led == life {
+            return;
+        }
+        self.broken.lasting.led = life;
+        for report in std::mem::take(&mut self.broken.lasting.kept) {
+            for to in 0..self.nodes.len() {
+                let pause = self.rng.u64(0..SEC);
+                let name = report.machine.clone();
+                self.after(pause, Ev::Report(name, to, u64::MAX, report.clone()));
+            }
+        }
+    }
+
+    /// Sends a command on its way to a machine, or has it held up there: nobody hears then
+    /// what became of it.
+    pub fn send_direct(&mut self, n: usize, life: u64, id: u64, hop: u64, addr: String, body: Direct) {
+        let held = self.broken.hold_direct.values().copied().max().unwrap_or(0);
+        let shares = self.broken.lasting.late_commands.values();
+        let share = shares.copied().fold(0.0, f64::max);
+        if self.drawn(share) {
+            let late = 2 * SEC + self.rng.u64(0..14 * SEC);
+            return self.after(late, Ev::Direct(n, u64::MAX, id, addr, body));
+        }
+        self.after(hop + held, Ev::Direct(n, life, id, addr, body));
+    }
+
+    /// How much later than usual this machine's answer to a direct command is there.
+    pub fn answer_held(&mut self, name: &str) -> u64 {
+        let held = self.broken.lasting.held_answers.values();
+        let by = held.filter(|(names, _)| names.contains(name)).map(|(_, by)| *by);
+        let by = by.max().unwrap_or(0);
+        if by == 0 {
+            return 0;
+        }
+        self.rng.u64(0..=by)
+    }
+}
--- a/tests/sim/workers.rs
+++ b/tests/sim/workers.rs
@@ -232,11 +232,18 @@
             send = Some((node, rid, report));
         }
         let report_s = self.script.base.params.workers.report_s;
+        if send
+            .as_ref()
+            .is_some_and(|(_, rid, _)| self.report_fails_to_leave(name, *rid))
+        {
+            send = None;
+        }
         if let Some((node, rid, report)) = send {
             let pause = (report_s * (0.75 + 0.5 * self.rng.f64()) * SEC as f64) as u64;
             if let Some(w) = self.workers.get_mut(name) {
                 w.next_report = now + pause;
             }
+            self.keep_for_next(&report);
             let hop = self.hop();
             let share = self.broken.late_reports.values().copied().fold(0.0, f64::max);
             if share > 0.0 && self.rng.f64() < share {
@@ -454,7 +461,8 @@
         };
         let hop = self.hop();
         if self.passes(&self.zone_end(&name), &super::links::End::Node(n)) {
-            self.after(hop, Ev::Command(n, life, Command::Direct { id, answer }));
+            let held = self.answer_held(&name);
+            self.after(hop + held, Ev::Command(n, life, Command::Direct { id, answer }));
         }
         self.after(1, Ev::Worker(name));
     }
