--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -59,10 +59,12 @@
             Expect::RentedInAll(most) => world.cloud.rented_in_all() <= *most,
             Expect::Changes(most) => world.store.changes <= *most,
             Expect::CloudCalls(most) => world.cloud.calls <= *most,
+            Expect::Met(least) => world.broken.lasting.met >= *least,
         };
         if !good {
             let counted = (world.store.changes, world.cloud.calls, world.cloud.rented_in_all());
             let (failures, missed) = (world.rules.failures, &world.rules.missed);
+            let met = world.broken.lasting.met;
             if let Expect::AcceptedWithin(seconds) = expect {
                 for (id, u) in &world.users {
                     let waited = u.accepted.zip(u.first_asked).map(|(at, from)| at - from);
@@ -72,7 +74,7 @@
                 }
             }
             wrong.push(format!(
-                "expected {expect:?}; changes, calls, machines rented: {counted:?}, failures {failures}, missed {missed:?}"
+                "expected {expect:?}; changes, calls, machines rented: {counted:?}, failures {failures}, missed {missed:?}, met {met}"
             ));
         }
     }
--- a/tests/sim/meetings.rs
+++ b/tests/sim/meetings.rs
@@ -3,7 +3,7 @@
 //! meet. Every rule is checked, and that work goes on once they are over.
 //!
 //! `MEETINGS=n` plays n of them instead of the few that always are, `MEETINGS_FROM=seed` begins
-//! elsewhere; each is printed as it is played. What breaks a rule is printed as a scenario to be
+//! elsewhere, `MEETINGS_THREADS=n` plays so many at once; each is printed as it is played. What breaks a rule is printed as a scenario to be
 //! saved as a file.
 
 use super::planted::{Fault, ALL};
@@ -260,7 +260,8 @@
 fn search(from: u64, count: u64, planted: Option<Fault>, enough: usize) -> Vec<(u64, Vec<String>)> {
     let next = AtomicU64::new(from);
     let found = Mutex::new(vec![]);
-    let threads = std::thread::available_parallelism().map_or(4, |n| n.get());
+    let cores = std::thread::available_parallelism().map_or(4, |n| n.get());
+    let threads = number("MEETINGS_THREADS", cores as u64);
     let told = std::env::var("MEETINGS").is_ok();
     std::thread::scope(|scope| {
         for _ in 0..threads {
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -113,6 +113,8 @@
     RentedInAll(usize),
     /// Calls made to the cloud.
     CloudCalls(u64),
+    /// Messages that `troubles.rs` lost, held up or copied: its verbs reach something.
+    Met(usize),
 }
 
 pub struct Script {
@@ -468,6 +470,7 @@
                     "rented-in-all-at-most" => Expect::RentedInAll(number(2)? as usize),
                     "changes-at-most" => Expect::Changes(number(2)?),
                     "cloud-calls-at-most" => Expect::CloudCalls(number(2)?),
+                    "met-at-least" => Expect::Met(number(2)? as usize),
                     other => return Err(format!("unknown expectation {other}")),
                 };
                 self.expect.push(e);
--- a/tests/sim/troubles.rs
+++ b/tests/sim/troubles.rs
@@ -104,6 +104,8 @@
     late_commands: BTreeMap<usize, f64>,
     held_answers: BTreeMap<usize, (BTreeSet<String>, u64)>,
     slow_state: BTreeMap<usize, u64>,
+    /// Messages that these troubles lost, held up or copied.
+    pub met: usize,
     /// Copies of reports for the next leader.
     kept: Vec<Report>,
     /// The controller that led last, and its life.
@@ -170,7 +172,9 @@
 
     /// Whether so large a share, drawn anew each time, includes this message.
     fn drawn(&mut self, share: f64) -> bool {
-        share > 0.0 && self.rng.f64() < share
+        let drawn = share > 0.0 && self.rng.f64() < share;
+        self.broken.lasting.met += usize::from(drawn);
+        drawn
     }
 
     /// Whether this transaction is carried out and its sender hears nothing.
@@ -197,6 +201,7 @@
         if !self.broken.lasting.mute.values().any(|m| m.contains(name)) {
             return false;
         }
+        self.broken.lasting.met += 1;
         let pause = if self.rng.bool() { MS } else { 4 * SEC };
         self.after(pause, Ev::ReportLate(name.into(), rid));
         true
@@ -250,6 +255,7 @@
         if by == 0 {
             return 0;
         }
+        self.broken.lasting.met += 1;
         self.rng.u64(0..=by)
     }
 }
