--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -17,6 +17,7 @@
 pub mod shares;
 mod starving;
 pub mod store;
+pub mod troubles;
 pub mod users;
 pub mod workers;
 
@@ -119,6 +120,7 @@
     pub trap: Option<(usize, u64)>,
     /// The next controller that writes such a key ends before it hears of it, for so long.
     pub ends_on: Vec<(String, u64)>,
+    pub lasting: troubles::Lasting,
 }
 
 impl Broken {
@@ -385,6 +387,7 @@
         };
         let effects = core.handle(now, batch);
         let effects = self.plant(n, effects);
+        self.notice_leader(n);
         let asks =
             |e: &Effect| matches!(e, Effect::Store { request, .. } if matches!(request, StoreRequest::Grant { .. }));
         if effects.iter().any(asks) {
@@ -443,8 +446,7 @@
                 } => {
                     let answer = glenhaven::coordination::DirectAnswer::Unknown;
                     self.after(timeout.0, Ev::Command(n, life, Command::Direct { id, answer }));
-                    let held = self.broken.hold_direct.values().copied().max().unwrap_or(0);
-                    self.after(hop + held, Ev::Direct(n, life, id, addr, body));
+                    self.send_direct(n, life, id, hop, addr, body);
                 }
                 Effect::Peer { to, message } => {
                     let Some(other) = self.nodes.iter().position(|x| x.settings.node == to) else {
@@ -672,6 +674,7 @@
                 self.troubles.odd_requests.insert(i);
                 self.odd_requests(i);
             }
+            Act::Trouble(trouble) => self.begin_trouble(i, &trouble),
             Act::Storm(factor) => {
                 self.broken.storm.insert(i, factor);
                 let all: Vec<String> = self.users.keys().cloned().collect();
@@ -723,6 +726,7 @@
         b.slow_answers.remove(&i);
         b.boots.remove(&i);
         b.storm.remove(&i);
+        b.lasting.heal(i);
         if self.broken.state_out.is_empty() {
             self.store.outage(false, self.now);
         }
