--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -169,6 +169,7 @@
     pub results: BTreeSet<String>,
     /// A fault that the search for meetings is to find.
     pub planted: Option<planted::Fault>,
+    planted_kept: planted::Kept,
     planted_cache: planted::Cache,
 }
 
@@ -218,6 +219,7 @@
             links_told: BTreeMap::new(),
             results: BTreeSet::new(),
             planted: None,
+            planted_kept: BTreeMap::new(),
             planted_cache: BTreeMap::new(),
             script,
         }
--- a/tests/sim/planted.rs
+++ b/tests/sim/planted.rs
@@ -8,7 +8,7 @@
 use glenhaven::protocol::peer::PeerMessage;
 use glenhaven::protocol::store::{Change, StoreRequest, Txn};
 use glenhaven::protocol::users::{JobState, Phase};
-use glenhaven::protocol::workers::{Order, Orders, Report};
+use glenhaven::protocol::workers::{Direct, Order, Orders, Report};
 use glenhaven::protocol::{from_cbor, to_cbor};
 use glenhaven::transport::server::Outgoing;
 use std::collections::BTreeMap;
@@ -45,9 +45,11 @@
     AnswersFromCache,
     /// Some jobs' starts are never sent.
     StartsNotAll,
+    /// A start that was decided under one term is sent once more under the next.
+    KeepsStarts,
 }
 
-pub const ALL: [Fault; 15] = [
+pub const ALL: [Fault; 16] = [
     Fault::RenewsUnproven,
     Fault::OneVouchesForAll,
     Fault::StopsNothing,
@@ -63,11 +65,15 @@
     Fault::AcceptsAnything,
     Fault::AnswersFromCache,
     Fault::StartsNotAll,
+    Fault::KeepsStarts,
 ];
 
 /// How long a node repeats itself.
 const CACHED: u64 = SEC;
 
+/// Starts last sent straight to each address, and the token under which they left.
+pub type Kept = BTreeMap<String, (u64, Vec<Order>)>;
+
 /// What each node last said of a job, and when.
 pub type Cache = BTreeMap<(usize, String), (u64, Outgoing)>;
 
@@ -102,6 +108,18 @@
         }
     }
 
+    /// Adds the starts that left for this address under an earlier term.
+    fn plant_kept(&mut self, addr: &str, body: &mut Direct) {
+        let starts = body.orders.iter().filter(|o| matches!(o, Order::Start { .. }));
+        let starts: Vec<Order> = starts.cloned().collect();
+        let kept = self.planted_kept.entry(addr.into()).or_default();
+        if kept.0 < body.fence {
+            body.orders.append(&mut kept.1);
+            kept.0 = body.fence;
+        }
+        kept.1.extend(starts);
+    }
+
     /// Answers a question beside those that users ask in turn.
     fn plant_look(&mut self, n: usize, number: u64, fault: Fault, answer: &mut Outgoing) {
         let Some(job) = self.troubles.job_of(number).map(str::to_string) else {
@@ -168,6 +186,7 @@
                 Effect::Direct { body, .. } if fault == Fault::StopsNothing => {
                     body.orders.retain(|o| !matches!(o, Order::Stop { .. }));
                 }
+                Effect::Direct { addr, body, .. } if fault == Fault::KeepsStarts => self.plant_kept(addr, body),
                 Effect::Direct { body, .. } => self.plant_starts(fault, &mut body.orders),
                 Effect::Peer {
                     to,
--- a/tests/sim/users.rs
+++ b/tests/sim/users.rs
@@ -151,6 +151,9 @@
         };
         user.asked = None;
         if user.stranger {
+            if answer.status == 503 && answer.retry_after_s.is_none() {
+                self.rules.broken.push(format!("{job}: refused without Retry-After"));
+            }
             if answer.status == 200 {
                 self.rules.broken.push(format!("invented: {job} answered 200"));
             }
