What waits to be written to the log is typed

Four queues of the committer held tuples of two to four; they hold QueuedStarts, ChangedPart and Undescribed now, with their order said and tested, and what was written is counted in a struct. touched and unwritten are changed and undescribed.

--- a/src/coordination/book.rs
+++ b/src/coordination/book.rs
@@ -1,5 +1,6 @@
 //! The leader's book: open jobs, their tasks, placements and machines.
 
+use super::commit::queues::Undescribed;
 use super::commit::Committer;
 use super::pools::{ClassKey, Estimate};
 use super::{JobId, Shared, Site};
@@ -624,7 +625,9 @@
                 self.last_version = self.last_version.max(version);
                 let mut job = Job::new(id, spec, version, stamp, now);
                 job.came = self.came(came_ms, now);
-                self.committer.unwritten.insert((version, job.id.clone()));
+                self.committer
+                    .undescribed
+                    .insert(Undescribed::new(version, job.id.clone()));
                 self.jobs.insert(job.id.clone(), job);
                 self.dirty = true;
             }
@@ -643,7 +646,8 @@
         job.cancelled = Some(now);
         job.unknown_at = self.proven;
         job.waiting.clear();
-        self.committer.unwritten.insert((job.version, job.id.clone()));
+        let entry = Undescribed::new(job.version, job.id.clone());
+        self.committer.undescribed.insert(entry);
         if job.placed.is_empty() {
             self.committer.ended.insert(job.id.clone());
         }
@@ -809,11 +813,11 @@
         let c = &self.committer;
         tracing::info!(
             pages = c.pages_kept(),
-            transactions = c.written.0,
-            changes = c.written.1,
-            unrecorded = c.touched.len(),
+            transactions = c.written.transactions,
+            changes = c.written.changes,
+            unrecorded = c.changed.len(),
             starting = c.starting.len(),
-            undescribed = c.unwritten.len(),
+            undescribed = c.undescribed.len(),
             "book"
         );
         for team in &site.settings.params.teams {
--- a/src/coordination/chained.rs
+++ b/src/coordination/chained.rs
@@ -7,6 +7,7 @@
 //! of acceptances have it, every node reads them, and a new leader takes it from there.
 
 use super::book::{Job, Leader};
+use super::commit::queues::Undescribed;
 use super::desk::{Desk, Held};
 use super::{Core, JobId, Site};
 use crate::protocol::users::{Priority, Spec};
@@ -113,9 +114,9 @@
             job.order = order.max(job.order);
         }
         tracing::debug!(job = %id, after_s = now.since(job.came).secs(), "all that the job needs is done");
-        let entry = (job.version, id.clone());
+        let entry = Undescribed::new(job.version, id.clone());
         if job.base == 0 {
-            self.committer.unwritten.insert(entry);
+            self.committer.undescribed.insert(entry);
         }
         self.dirty = true;
     }
--- a/src/coordination/commit/mod.rs
+++ b/src/coordination/commit/mod.rs
@@ -9,6 +9,7 @@
 //! - `read_log`: reading the pages, and what happened to jobs since, at a takeover;
 //! - `replay`: what the pages say together;
 //! - `restore`: the leader's state from that;
+//! - `queues`: what is to be written, as it waits;
 //! - `write`: drafting and sending a transaction, the most urgent changes first;
 //! - `transaction` and `packing`: what one is made of, and how entries fit into its pages;
 //! - `compaction`: writing again what stands in the oldest pages, so that their keys can be
@@ -19,6 +20,7 @@
 pub mod compaction;
 mod outcome;
 pub mod packing;
+pub mod queues;
 mod read_log;
 pub mod replay;
 mod restore;
@@ -27,11 +29,10 @@
 
 use super::book::Leader;
 use super::JobId;
-use crate::protocol::users::Priority;
 use crate::time::Micros;
+use queues::{ChangedPart, QueuedStarts, Undescribed, Written};
 use read_log::LogReader;
 use replay::{FreeSlot, LivePage};
-use std::cmp::Reverse;
 use std::collections::{BTreeSet, VecDeque};
 use transaction::PendingTransaction;
 
@@ -86,11 +87,11 @@
     /// Pages that a transaction writes at most, less while it is refused.
     page_budget: usize,
     /// Parts with starts to be recorded, the most urgent first.
-    pub starting: BTreeSet<(Reverse<Priority>, u64, JobId, u32)>,
+    pub starting: BTreeSet<QueuedStarts>,
     /// Parts that differ from the log, in the order in which they changed.
-    pub touched: VecDeque<(Micros, JobId, u32)>,
+    pub changed: VecDeque<ChangedPart>,
     /// Jobs whose description, or cancellation, is not in the log.
-    pub unwritten: BTreeSet<(u64, JobId)>,
+    pub undescribed: BTreeSet<Undescribed>,
     /// Arrays whose every task has completed.
     pub complete: BTreeSet<JobId>,
     /// Jobs that are withdrawn with one that they need, which is to be recorded.
@@ -98,7 +99,7 @@
     /// Cancelled jobs with nothing left on machines.
     pub ended: BTreeSet<JobId>,
     /// How much was written, for an operator's log.
-    pub written: (u64, u64),
+    pub written: Written,
 }
 
 impl Committer {
@@ -168,7 +169,11 @@
         let chunk = job.chunks.entry(part).or_default();
         if chunk.dirty.is_none() {
             chunk.dirty = Some(now);
-            self.committer.touched.push_back((now, id.clone(), part));
+            self.committer.changed.push_back(ChangedPart {
+                since: now,
+                job: id.clone(),
+                part,
+            });
         }
     }
 }
--- a/src/coordination/commit/outcome.rs
+++ b/src/coordination/commit/outcome.rs
@@ -3,13 +3,13 @@
 
 use super::super::book::{Leader, Stage, TaskState};
 use super::super::{JobId, Shared};
+use super::queues::{QueuedStarts, Undescribed};
 use super::replay::{FreeSlot, LivePage};
 use super::transaction::{PendingTransaction, WrittenPart, WrittenStart};
 use super::{Committer, Ends, MAX_PAGES};
 use crate::bookkeeping::keys;
 use crate::protocol::workers::Order;
 use crate::time::Micros;
-use std::cmp::Reverse;
 
 impl Committer {
     /// The pages of an executed transaction stand in the log; older ones may say nothing any
@@ -56,7 +56,8 @@
         for description in pending.descriptions {
             let job = self.jobs.get(&description.job);
             if let (true, Some(job)) = (description.was_due, job) {
-                self.committer.unwritten.insert((job.version, description.job));
+                let entry = Undescribed::new(job.version, description.job);
+                self.committer.undescribed.insert(entry);
             }
         }
         for part in pending.parts {
@@ -70,7 +71,8 @@
             job.closing = false;
             self.committer.complete.insert(id.clone());
             if job.base == 0 {
-                self.committer.unwritten.insert((job.version, id.clone()));
+                let entry = Undescribed::new(job.version, id.clone());
+                self.committer.undescribed.insert(entry);
             }
         }
         for id in &pending.withdrawn {
@@ -80,7 +82,8 @@
         }
         for id in &pending.ended {
             if let Some(job) = self.jobs.get(id) {
-                self.committer.unwritten.insert((job.version, id.clone()));
+                let entry = Undescribed::new(job.version, id.clone());
+                self.committer.undescribed.insert(entry);
             }
             self.committer.ended.insert(id.clone());
         }
@@ -100,7 +103,7 @@
         chunk.void.extend(part.void);
         if starts {
             let priority = *chunk.queued.get_or_insert(job.priority);
-            let entry = (Reverse(priority), job.version, part.job.clone(), part.part);
+            let entry = QueuedStarts::new(priority, job.version, part.job.clone(), part.part);
             self.committer.starting.insert(entry);
         }
         self.touch(&part.job, part.part, now);
--- a/src/coordination/commit/restore.rs
+++ b/src/coordination/commit/restore.rs
@@ -4,6 +4,7 @@
 use super::super::book::{Chunk, Job, Leader, Machine, Placement, Stage, TaskState};
 use super::super::store_queue::Urgency;
 use super::super::{Shared, Wait};
+use super::queues::Undescribed;
 use super::read_log::JobNews;
 use super::replay::{Replay, ReplayedJob, ReplayedPart};
 use super::LeaderWait;
@@ -92,7 +93,8 @@
         self.jobs.insert(key.clone(), job);
         if cancelled {
             self.cancel(id, now);
-            self.committer.unwritten.remove(&(version, key.clone()));
+            let entry = Undescribed::new(version, key.clone());
+            self.committer.undescribed.remove(&entry);
         }
         if complete {
             self.committer.complete.insert(key);
--- a/src/coordination/commit/write.rs
+++ b/src/coordination/commit/write.rs
@@ -5,6 +5,7 @@
 use super::super::store_queue::Urgency;
 use super::super::{JobId, Shared, Site, Wait};
 use super::packing::PagePacker;
+use super::queues::{ChangedPart, QueuedStarts, Undescribed};
 use super::transaction::{Draft, PendingTransaction, WrittenDescription, WrittenPage, WrittenPart, WrittenStart};
 use super::{LeaderWait, MAX_PAGES};
 use crate::bookkeeping::keys;
@@ -12,7 +13,6 @@
 use crate::protocol::store::{StoreRequest, Txn};
 use crate::protocol::users::{Phase, Priority};
 use crate::time::Micros;
-use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
 /// How long an answer is awaited before the transaction is in doubt.
@@ -70,9 +70,9 @@
     fn is_write_due(&self, claims: &ClaimChanges, now: Micros) -> bool {
         let committer = &self.committer;
         let first_start = committer.starting.first();
-        let hurry = first_start.is_some_and(|s| s.0 .0 == Priority::Production);
+        let hurry = first_start.is_some_and(|s| s.priority() == Priority::Production);
         let ends = !committer.complete.is_empty() || !committer.withdrawn.is_empty();
-        let soon = first_start.is_some() || ends || !committer.unwritten.is_empty() || !claims.wanted.is_empty();
+        let soon = first_start.is_some() || ends || !committer.undescribed.is_empty() || !claims.wanted.is_empty();
         let pause = match (hurry, soon) {
             (true, _) => Micros::ZERO,
             (_, true) => GATHER,
@@ -81,8 +81,8 @@
         if now.since(committer.last_sent) < pause {
             return false;
         }
-        let first_change = committer.touched.front();
-        let outcome_due = first_change.is_some_and(|t| now.since(t.0) > OUTCOME_DELAY);
+        let first_change = committer.changed.front();
+        let outcome_due = first_change.is_some_and(|c| now.since(c.since) > OUTCOME_DELAY);
         soon || outcome_due || !committer.ended.is_empty() || !claims.settled.is_empty()
     }
 
@@ -126,7 +126,7 @@
     fn write_starts(&mut self, draft: &mut Draft) {
         let most = 4 * draft.max_changes;
         let queued = self.committer.starting.iter().take(most);
-        let parts: Vec<(JobId, u32)> = queued.map(|s| (s.2.clone(), s.3)).collect();
+        let parts: Vec<(JobId, u32)> = queued.map(|s| (s.job.clone(), s.part)).collect();
         for (id, part) in parts {
             if !self.write_part(draft, &id, part) {
                 break;
@@ -147,7 +147,8 @@
             }
             job.closing = true;
             self.committer.complete.remove(&id);
-            self.committer.unwritten.remove(&(job.version, id.clone()));
+            let entry = Undescribed::new(job.version, id.clone());
+            self.committer.undescribed.remove(&entry);
             draft.pending.completed.push(id);
         }
     }
@@ -171,8 +172,9 @@
 
     /// Jobs whose description, or cancellation, is not in the log.
     fn write_new_descriptions(&mut self, draft: &mut Draft) {
-        let unwritten: Vec<JobId> = self.committer.unwritten.iter().map(|u| u.1.clone()).collect();
-        for id in unwritten {
+        let undescribed = self.committer.undescribed.iter();
+        let jobs: Vec<JobId> = undescribed.map(|u| u.job.clone()).collect();
+        for id in jobs {
             let Some(job) = self.jobs.get(&id) else { continue };
             if job.cancelled.is_some() && job.placed.is_empty() {
                 continue; // Over in a moment; that is said next.
@@ -195,7 +197,8 @@
             if draft.add(Entry::Over(id.to_string())).is_none() {
                 break;
             }
-            self.committer.unwritten.remove(&(job.version, id.clone()));
+            let entry = Undescribed::new(job.version, id.clone());
+            self.committer.undescribed.remove(&entry);
             self.committer.ended.remove(&id);
             draft.pending.ended.push(id);
         }
@@ -204,16 +207,21 @@
     /// Parts that have differed from the log for long enough. Outcomes wait for company, so
     /// that a busy array is not written for every one.
     fn write_outcomes(&mut self, draft: &mut Draft, now: Micros) {
-        while let Some((at, id, n)) = self.committer.touched.front().cloned() {
-            if now.since(at) <= OUTCOME_DELAY {
+        while let Some(ChangedPart {
+            since,
+            job: id,
+            part: n,
+        }) = self.committer.changed.front().cloned()
+        {
+            if now.since(since) <= OUTCOME_DELAY {
                 break;
             }
-            let differs = |job: &Job| job.chunks.get(&n).is_some_and(|c| c.dirty == Some(at));
+            let differs = |job: &Job| job.chunks.get(&n).is_some_and(|c| c.dirty == Some(since));
             let is_due = self.jobs.get(&id).is_some_and(differs);
             if is_due && !self.write_part(draft, &id, n) {
                 break;
             }
-            self.committer.touched.pop_front();
+            self.committer.changed.pop_front();
         }
     }
 
@@ -275,7 +283,7 @@
         let job = self.jobs.get_mut(id)?;
         let chunk = job.chunks.get_mut(&n)?;
         if let Some(priority) = chunk.queued.take() {
-            let entry = (Reverse(priority), job.version, id.clone(), n);
+            let entry = QueuedStarts::new(priority, job.version, id.clone(), n);
             self.committer.starting.remove(&entry);
         }
         chunk.dirty = None;
@@ -292,18 +300,20 @@
     /// room left.
     pub(super) fn write_description(&mut self, draft: &mut Draft, id: &JobId) -> bool {
         let Some(job) = self.jobs.get(id) else { return true };
-        let unwritten = (job.version, id.clone());
-        let due = self.committer.unwritten.contains(&unwritten) || job.base < draft.compact_before;
+        let entry = Undescribed::new(job.version, id.clone());
+        let due = self.committer.undescribed.contains(&entry) || job.base < draft.compact_before;
         if !due || job.closing || draft.describes(id) {
             return true;
         }
-        let Some(entry) = self.description(job, draft.packer.page_bytes()) else {
+        let Some(description) = self.description(job, draft.packer.page_bytes()) else {
             // It stays unwritten, and so does all that is placed of it: nothing starts.
             tracing::error!(job = %id, "the description doesn't fit into a page of the book");
             return true;
         };
-        let Some(page) = draft.add(entry) else { return false };
-        let was_due = self.committer.unwritten.remove(&unwritten);
+        let Some(page) = draft.add(description) else {
+            return false;
+        };
+        let was_due = self.committer.undescribed.remove(&entry);
         draft.pending.descriptions.push(WrittenDescription {
             job: id.clone(),
             page,
@@ -355,12 +365,16 @@
     /// Up to which revision the jobs' keys are in the log, all but what is still to be
     /// written.
     fn seen_after(&self, lead: &Leadership) -> u64 {
-        let change_of = |(version, id): &(u64, JobId)| {
-            let job = self.jobs.get(id)?;
+        let change_of = |entry: &Undescribed| {
+            let job = self.jobs.get(&entry.job)?;
             let by_cancellation = job.cancelled.is_some() && job.cancel_version > 0;
-            Some(if by_cancellation { job.cancel_version } else { *version })
+            Some(if by_cancellation {
+                job.cancel_version
+            } else {
+                entry.version
+            })
         };
-        let first = self.committer.unwritten.iter().filter_map(change_of).min();
+        let first = self.committer.undescribed.iter().filter_map(change_of).min();
         let known = lead.jobs_seen();
         let seen = first.map_or(known, |version| known.min(version.saturating_sub(1)));
         seen.max(self.committer.seen)
@@ -379,8 +393,8 @@
     fn send_first(&mut self, sh: &mut Shared, pending: PendingTransaction, starts: usize) {
         let urgent = starts > 0 || !pending.claims.is_empty();
         let urgency = if urgent { Urgency::Start } else { Urgency::User };
-        self.committer.written.0 += 1;
-        self.committer.written.1 += pending.txn.changes.len() as u64;
+        self.committer.written.transactions += 1;
+        self.committer.written.changes += pending.txn.changes.len() as u64;
         tracing::debug!(
             pages = pending.pages.len(),
             headers = pending.descriptions.len(),
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -2,6 +2,7 @@
 //! first pulls, borrowing, and room made for production.
 
 use super::book::{Job, Kind, Leader, Machine, MachineId, Placement, Stage, TaskState};
+use super::commit::queues::QueuedStarts;
 use super::gathered::Gathered;
 use super::pools::{split, ClassKey};
 use super::{times, JobId, Shared, Site};
@@ -624,7 +625,7 @@
             let queued = *chunk.queued.get_or_insert(job.priority);
             self.committer
                 .starting
-                .insert((std::cmp::Reverse(queued), job.version, id.clone(), part));
+                .insert(QueuedStarts::new(queued, job.version, id.clone(), part));
             job.waiting.remove(&task);
             job.states[task as usize] = TaskState::Placed;
             job.placed.insert(
--- a/tests/log_pages.rs
+++ b/tests/log_pages.rs
@@ -4,9 +4,11 @@
 use glenhaven::bookkeeping::records::{ClaimValue, Entry, Page, Part, PlacementRow};
 use glenhaven::coordination::commit::compaction::{extra_pages, pages_allowed};
 use glenhaven::coordination::commit::packing::PagePacker;
+use glenhaven::coordination::commit::queues::QueuedStarts;
 use glenhaven::coordination::commit::replay::{FreeSlot, Replay, StoredPage};
 use glenhaven::protocol::json_size;
-use glenhaven::protocol::users::Spec;
+use glenhaven::protocol::users::{Priority, Spec};
+use std::collections::BTreeSet;
 
 /// The smallest values that the service announces, and the largest transaction.
 const VALUE_BYTES: usize = 2048;
@@ -333,3 +335,16 @@
     assert_eq!(extra_pages(47, 20), 2);
     assert_eq!(extra_pages(48, 20), 20);
 }
+
+#[test]
+fn the_most_urgent_starts_come_first_and_then_those_accepted_first() {
+    let starts = |priority, version, part| QueuedStarts::new(priority, version, "run-000001".into(), part);
+    let queue: BTreeSet<QueuedStarts> = [
+        starts(Priority::Low, 1, 0),
+        starts(Priority::Production, 9, 1),
+        starts(Priority::Production, 8, 2),
+        starts(Priority::Normal, 2, 3),
+    ]
+    .into();
+    assert_eq!(queue.iter().map(|s| s.part).collect::<Vec<_>>(), [2, 1, 3, 0]);
+}
