--- a/src/coordination/desk.rs
+++ b/src/coordination/desk.rs
@@ -5,6 +5,7 @@
 //! known from a page of acceptances; its own key exists once it is over, for ever.
 
 mod accept;
+mod answers;
 mod cancelled;
 mod named;
 
@@ -13,13 +14,13 @@
 use super::store_queue::Urgency;
 use super::{Shared, Site, UserRequest, Wait};
 use crate::bookkeeping::keys;
-use crate::bookkeeping::records::{from_value, kept, to_value, JobValue};
+use crate::bookkeeping::records::{kept, to_value, JobValue};
 use crate::protocol::peer::Progress;
 use crate::protocol::store::{Change, Condition, StoreAnswer, StoreRequest, Txn};
 use crate::protocol::users::{id_in, is_job_id, ErrorBody, JobState, Phase, Spec};
 use crate::protocol::{json_size, to_cbor};
 use crate::time::Micros;
-use glenhaven_chains::{Chains, Stand};
+use glenhaven_chains::Chains;
 use glenhaven_intake::{Intake, Waited, Waits};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -542,207 +543,6 @@
         }
     }
 
-    pub fn on_store(&mut self, sh: &mut Shared, site: &Site, wait: DeskWait, answer: StoreAnswer) {
-        match wait {
-            DeskWait::Verify(batch) => {
-                self.verifying = self.verifying.saturating_sub(1);
-                match answer {
-                    StoreAnswer::Committed { .. } => {
-                        for (job, version, ids) in batch {
-                            self.verified(sh, site, &job, version, ids);
-                        }
-                    }
-                    StoreAnswer::Conflict { failed, .. } => {
-                        for (job, version, ids) in batch {
-                            if failed.contains(&keys::job(&job)) {
-                                let unchecked = self.known.get(&job).is_some_and(|k| !k.checked);
-                                let needed = self.chains.is_needed(&job) || self.chains.job(&job).is_some();
-                                if unchecked && ids.is_empty() && !needed {
-                                    // Over: how is read when somebody asks.
-                                    self.known.remove(&job);
-                                    self.intake.over(&job);
-                                    continue;
-                                }
-                                send_read(sh, &job, ids, Micros::ZERO);
-                            } else {
-                                self.verified(sh, site, &job, version, ids);
-                            }
-                        }
-                    }
-                    _ => {
-                        for (job, _, ids) in batch {
-                            let unchecked = self.known.get(&job).is_some_and(|k| !k.checked);
-                            if unchecked || ids.iter().any(|id| self.pending.contains_key(id)) {
-                                self.to_verify.entry(job).or_default().extend(ids);
-                            }
-                        }
-                    }
-                }
-            }
-            DeskWait::Read(job, ids) => match answer {
-                StoreAnswer::Row(row) => {
-                    self.reading.remove(&job);
-                    match from_value::<JobValue>(&row.value) {
-                        Some(value) => self.learn(&job, row.version, value.phase),
-                        None => tracing::error!(job, "malformed job value"),
-                    }
-                    if let Some(known) = self.known.get(&job).copied() {
-                        self.verified(sh, site, &job, known.version, ids);
-                    }
-                }
-                StoreAnswer::Missing { .. } => {
-                    self.reading.remove(&job);
-                    self.verified(sh, site, &job, 0, ids);
-                }
-                _ => {
-                    self.reading.remove(&job);
-                    let unchecked = self.known.get(&job).is_some_and(|k| !k.checked);
-                    if unchecked || ids.iter().any(|id| self.pending.contains_key(id)) {
-                        let pause = sh.jitter(Micros::from_millis(80));
-                        send_read(sh, &job, ids, pause);
-                    }
-                }
-            },
-            DeskWait::Accept(number, slot) => self.on_accept(sh, site, (number, slot), answer),
-            DeskWait::Page(slot) => {
-                // If this is not answered either, the next try on the page asks again.
-                if let StoreAnswer::Row(row) = answer {
-                    self.learn_page(&row.key, &row.value, row.version, true);
-                    self.settle_submits(sh, site);
-                }
-                tracing::debug!(slot, "a page of this node was written unseen");
-            }
-            DeskWait::Pages(of) if of != self.reading_of => {}
-            DeskWait::Pages(_) => {
-                let Pages::Asked(after) = &self.pages else { return };
-                let after = after.clone();
-                self.pages = match answer {
-                    StoreAnswer::Rows(rows) => {
-                        for row in &rows.items {
-                            self.learn_page(&row.key, &row.value, row.version, false);
-                        }
-                        match rows.items.last() {
-                            Some(last) if rows.more => Pages::From(last.key.clone()),
-                            _ => Pages::Known,
-                        }
-                    }
-                    _ => {
-                        self.next_pages = sh.now + sh.jitter(Micros::from_millis(150));
-                        Pages::From(after)
-                    }
-                };
-                self.settle_submits(sh, site);
-            }
-            DeskWait::Sync(ids) => {
-                self.syncing = false;
-                let StoreAnswer::Events(events) = answer else {
-                    self.to_sync
-                        .extend(ids.into_iter().filter(|id| self.pending.contains_key(id)));
-                    return;
-                };
-                self.on_news(sh, site, &events.events);
-                for id in ids {
-                    self.synced(sh, site, id);
-                }
-            }
-            DeskWait::Abort(id, _) => {
-                let Some(pending) = self.pending.get(&id) else { return };
-                let job = pending.job.clone();
-                match answer {
-                    StoreAnswer::Committed { revision } => {
-                        self.learn(&job, revision, Phase::Cancelled);
-                        self.pending.remove(&id);
-                        self.answer(sh, id, &job, Phase::Cancelled, 200);
-                    }
-                    StoreAnswer::Conflict { .. } => send_read(sh, &job, vec![id], Micros::ZERO),
-                    _ => self.again(sh, site, id, &answer),
-                }
-            }
-        }
-    }
-
-    /// Repeats a transaction that was refused or not answered. Both kinds are
-    /// conditional, so that a second execution cannot do harm.
-    fn again(&mut self, sh: &mut Shared, site: &Site, id: u64, answer: &StoreAnswer) {
-        if matches!(answer, StoreAnswer::Unknown) {
-            return self.advance(sh, site, id);
-        }
-        let Some(p) = self.pending.get(&id) else { return };
-        // A read in between costs a request but tells whether the job is known
-        // by now; the pause keeps refused nodes from retrying in step.
-        let pause = sh.jitter(Micros::from_millis(60));
-        send_read(sh, &p.job.clone(), vec![id], pause);
-    }
-
-    /// A compare or read of the job's own key proved this version (0: there is none), in
-    /// a request that was made after these came.
-    fn verified(&mut self, sh: &mut Shared, site: &Site, job: &str, version: u64, ids: Vec<u64>) {
-        if let Some(known) = self.known.get_mut(job) {
-            // An end learnt meanwhile is newer than a read that missed it.
-            known.checked |= version <= known.version;
-        }
-        if version == 0 && self.known.get(job).is_none_or(|k| !k.phase.is_final()) {
-            // Its own key was not there: it is not over, whoever accepted it. Nothing waits
-            // for ever for a word about it.
-            self.chains.open(job);
-        }
-        for id in ids {
-            let named = self.pending.get_mut(&id).filter(|p| p.job != job);
-            if let Some(pending) = named {
-                if !self.known.contains_key(job) {
-                    pending.missing.insert(job.to_string());
-                }
-                self.advance(sh, site, id);
-                continue;
-            }
-            let Some(pending) = self.pending.get(&id) else { continue };
-            let phase = self.final_phase(job).or(self.known.get(job).map(|k| k.phase));
-            match (&pending.ask, phase) {
-                (Ask::Submit(_), None) | (Ask::Abort, Some(_)) => self.advance(sh, site, id),
-                // Not over; whether it was accepted by another node, unseen here yet, is
-                // read in this request too.
-                (_, None) => self.to_sync.push(id),
-                (_, Some(phase)) if !phase.is_final() && self.waits(job) => self.to_sync.push(id),
-                (_, Some(phase)) => {
-                    self.pending.remove(&id);
-                    self.answer(sh, id, job, phase, 200);
-                }
-            }
-        }
-    }
-
-    /// All news up to a moment after the request came were seen, and its job's own key was
-    /// read in it: a job that is still not known was never accepted.
-    fn synced(&mut self, sh: &mut Shared, site: &Site, id: u64) {
-        if let Some(pending) = self.pending.get_mut(&id) {
-            pending.synced = true;
-        }
-        let Some(pending) = self.pending.get(&id) else { return };
-        let job = pending.job.clone();
-        let phase = self.final_phase(&job).or(self.known.get(&job).map(|k| k.phase));
-        match (&pending.ask, phase) {
-            // Something before it has yet to be read.
-            (_, Some(phase)) if !phase.is_final() && self.chains.stand(&job) == Some(Stand::Unsettled) => {
-                self.to_sync.push(id);
-            }
-            (Ask::Poll | Ask::Abort, None) => {
-                self.pending.remove(&id);
-                refuse(sh, id, 404, "no such job");
-            }
-            (Ask::Refusable(status, why), None) => {
-                let (status, why) = (*status, why.clone());
-                self.pending.remove(&id);
-                refuse(sh, id, status, &why);
-            }
-            (Ask::Submit(_), None) | (Ask::Abort, Some(_)) => self.advance(sh, site, id),
-            (_, Some(_)) if self.known.get(&job).is_some_and(|k| !k.checked) => self.advance(sh, site, id),
-            (_, Some(phase)) => {
-                self.pending.remove(&id);
-                self.answer(sh, id, &job, phase, 200);
-            }
-        }
-    }
-
     fn answer(&self, sh: &mut Shared, id: u64, job: &str, phase: Phase, status: u16) {
         let (done, running) = self.counts.get(job).copied().unwrap_or((0, 0));
         let state = JobState {
