--- a/tests/sim/meetings.rs
+++ b/tests/sim/meetings.rs
@@ -143,9 +143,25 @@
         let abort = (24 + n * 6) as f64 + 2.5 + rng.f64() * 2.5;
         writeln!(t, "at {abort:.2} abort run-0005{n:02}").unwrap();
     }
+    crowd(&mut t, &mut fastrand::Rng::with_seed(seed));
     t
 }
 
+/// Of some worlds: a team that has more work than its limit all along, and four jobs of one
+/// task a second, a quarter of them cancelled.
+fn crowd(t: &mut String, rng: &mut fastrand::Rng) {
+    if rng.bool() {
+        t.push_str("team green max=8\nat 30 submit run-000700 copies=24 run=12 cores=2 team=green\n");
+        let abort = BEGINS as f64 + rng.f64() * 5.0;
+        writeln!(t, "at {abort:.2} abort run-000706 every=1 times=6").unwrap();
+    }
+    if rng.u32(0..4) == 0 {
+        t.push_str("at 40 submit run-001000 every=0.25 times=240 run=4 estimate=4\n");
+        let abort = 40.1 + rng.f64() * 5.0;
+        writeln!(t, "at {abort:.2} abort run-001000 every=0.25 times=60").unwrap();
+    }
+}
+
 /// Lines of so many troubles.
 fn troubles(first: f64, rng: &mut fastrand::Rng, count: usize) -> Vec<String> {
     let mut lines = vec![];
