--- a/tests/sim/troubles.rs
+++ b/tests/sim/troubles.rs
@@ -26,6 +26,8 @@
 pub enum Which {
     /// So many of those with most tasks.
     Busiest(usize),
+    /// So large a share, those with most tasks.
+    Share(f64),
     /// All of one zone.
     Zone(String),
     /// So many of those with most tasks in one zone.
@@ -58,6 +60,7 @@
         match (words.named.get("zone"), count) {
             (Some(zone), Ok(count)) => Ok(Which::BusiestIn(zone.to_string(), count)),
             (Some(zone), Err(_)) => Ok(Which::Zone(zone.to_string())),
+            (None, Err(_)) if words.named.contains_key("share") => words.num("share", 0.0).map(Which::Share),
             (None, count) => count.map(Which::Busiest),
         }
     }
@@ -130,6 +133,7 @@
         let in_zone = |name: &String, zone: &String| self.workers[name].zone == *zone;
         match which {
             Which::Busiest(count) => self.busiest(*count),
+            Which::Share(share) => self.busiest((all.len() as f64 * share).ceil() as usize),
             Which::Zone(zone) => all.filter(|name| in_zone(name, zone)).collect(),
             Which::BusiestIn(zone, count) => {
                 let mut names: Vec<String> = all.filter(|name| in_zone(name, zone)).collect();
