Bad input is said in the log: malformed submissions, tokens never given out

Cause: tests of bad input found that nothing wrong is done and nothing is said. Change: one line each; a report's token is judged in one place.

--- a/src/coordination/desk.rs
+++ b/src/coordination/desk.rs
@@ -285,10 +285,13 @@
         let (job, ask) = match request {
             UserRequest::Submit(body) => match Spec::parse(&body) {
                 Ok(spec) => (spec.id.clone(), Self::judge(site, spec)),
-                Err(why) => match id_in(&body) {
-                    Some(job) => (job, Ask::Refusable(400, why.to_string())),
-                    None => return refuse(sh, id, 400, &why.to_string()),
-                },
+                Err(why) => {
+                    tracing::warn!(%why, "malformed submission");
+                    match id_in(&body) {
+                        Some(job) => (job, Ask::Refusable(400, why.to_string())),
+                        None => return refuse(sh, id, 400, &why.to_string()),
+                    }
+                }
             },
             UserRequest::Poll(job) => (job, Ask::Poll),
             UserRequest::Abort(job) => (job, Ask::Abort),
--- a/src/coordination/workers/heartbeats.rs
+++ b/src/coordination/workers/heartbeats.rs
@@ -120,7 +120,7 @@
     pub(in crate::coordination) fn answer_report(&mut self, id: u64, report: Report) {
         let now = self.sh.now;
         if self.lead.role() == Role::Leader {
-            if !self.vouchers.may_renew(&self.lead, &self.site, now) || report.fence > self.lead.term() {
+            if !self.vouchers.may_renew(&self.lead, &self.site, now) || self.is_foreign(&report) {
                 return self.sh.reply(id, 503, vec![], Some(1));
             }
             // A leader that can't know any more whether it leads, and hears nobody, would
@@ -227,10 +227,24 @@
         }
     }
 
+    /// Whether a report has a token that this leader never gave out: a later leader did, or nobody.
+    fn is_foreign(&self, report: &Report) -> bool {
+        let (fence, term) = (report.fence, self.lead.term());
+        if fence > term {
+            tracing::warn!(
+                machine = report.machine,
+                fence,
+                term,
+                "a report has a token that was never given out here"
+            );
+        }
+        fence > term
+    }
+
     fn answer_forward(&mut self, node: String, id: u64, report: Report) {
         let now = self.sh.now;
         let current = self.vouchers.may_renew(&self.lead, &self.site, now);
-        if self.lead.role() != Role::Leader || !current || report.fence > self.lead.term() {
+        if self.lead.role() != Role::Leader || !current || self.is_foreign(&report) {
             return;
         }
         let orders = self.leaders_answer(&report, Some(&node));
--- a/src/coordination/workers/reports.rs
+++ b/src/coordination/workers/reports.rs
@@ -49,7 +49,6 @@
         if report.fence > self.term {
             // A token that this leader never gave out: another one leads by now, or nobody ever
             // gave it. As a proof that starts are refused it would be worth nothing.
-            tracing::warn!(machine = %name, fence = report.fence, term = self.term, "report dropped: its token was never given out here");
             return false;
         }
         let machine = self.machines.entry(name.clone()).or_insert_with(|| {
