--- a/tests/sim/meetings.rs
+++ b/tests/sim/meetings.rs
@@ -280,7 +280,9 @@
                     let verdict = if wrong.is_empty() { "held" } else { "BROKEN" };
                     println!("meeting {seed}: {verdict}");
                 }
-                if !wrong.is_empty() {
+                // What breaks a rule without the fault shows nothing of it.
+                let own = planted.is_none() || wrong.is_empty() || play(&text, None).is_empty();
+                if !wrong.is_empty() && own {
                     found.lock().unwrap().push((seed, wrong));
                 }
             });
@@ -302,12 +304,13 @@
     assert!(told.is_empty(), "\n{}", told.join("\n"));
 }
 
-/// The search finds each of these within so many seeds.
+/// The search finds each of these within so many seeds. `PLANTED` names one alone.
 #[test]
 fn planted_faults_are_found() {
     let most = number("MEETINGS_PLANTED", 500);
     let mut missed = vec![];
-    for fault in ALL {
+    let only = std::env::var("PLANTED").unwrap_or_default();
+    for fault in ALL.into_iter().filter(|f| format!("{f:?}").contains(&only)) {
         let found = search(0, most, Some(fault), 1);
         match found.first() {
             Some((seed, wrong)) => println!("{fault:?}: seed {seed}: {}", wrong[0]),
