--- a/tests/sim/outbox.rs
+++ b/tests/sim/outbox.rs
@@ -46,6 +46,8 @@
     leader.term_raised(2);
     leader.take_heartbeat(&site(), &fenced(2, 2), None, at(100), at(100));
     assert!(is_placed(&leader), "nothing was sent that could have been refused");
+    // Counted as free, its cores would let the team start more than its limit allows.
+    assert_eq!(leader.jobs["run-000001"].held, 1);
     assert_eq!(leaves(&mut leader, 2, &Desk::new("node-0")).len(), 1);
     // The next report was sent before that start arrived, and proves nothing of it.
     leader.take_heartbeat(&site(), &fenced(3, 2), None, at(600), at(600));
