The leader walks all machines and all jobs less often: same decisions

Cause: at 3,300 machines most of the leader's own time went into walks that need not be made: with every batch it counted the machines that work, for a decision that needs the number only when no other controller is heard, and looked through all machines for those to be returned; a pass looked up the zone of every task of waiting jobs without a rule about zones; the log walked all jobs once for each of 120 teams.

Change: the count is made when the decision depends on it (`Lead::look` takes a closure; its tests give `|| n` in place of `n`, nothing else in them changes); machines given up stand in a set of their own; zones are looked up for jobs with a rule about them; one walk over the jobs serves the log lines.

--- a/crates/links/src/lead.rs
+++ b/crates/links/src/lead.rs
@@ -140,7 +140,7 @@
         &mut self,
         picture: &Picture,
         others: u32,
-        machines: u32,
+        machines: impl FnOnce() -> u32,
         began: Micros,
         now: Micros,
     ) -> Option<Handover> {
@@ -166,7 +166,7 @@
             && own.state
             && own.nodes == 1
             && silent == others
-            && own.workers * 2 < machines;
+            && own.workers * 2 < machines();
         let found = match best {
             // What can be asked by way of others works here as well as there.
             Some((_, name)) if own.state => Some(Handover {
--- a/crates/links/tests/exhaustive.rs
+++ b/crates/links/tests/exhaustive.rs
@@ -46,8 +46,8 @@
 fn gives(lead: &mut Lead, picture: &Picture, now: Micros) -> Option<Option<usize>> {
     // The picture is of now; the reason has held since three seconds ago.
     let earlier = Micros(now.0 - 3_000_000);
-    assert!(lead.look(picture, 3, 42, Micros::ZERO, earlier).is_none(), "at once");
-    let handover = lead.look(picture, 3, 42, Micros::ZERO, now)?;
+    assert!(lead.look(picture, 3, || 42, Micros::ZERO, earlier).is_none(), "at once");
+    let handover = lead.look(picture, 3, || 42, Micros::ZERO, now)?;
     Some(handover.to.map(|to| NAMES.iter().position(|n| *n == to).unwrap()))
 }
 
--- a/crates/links/tests/links.rs
+++ b/crates/links/tests/links.rs
@@ -118,7 +118,7 @@
                     picture.heard(name, now);
                 }
             }
-            if lead.look(&picture, 4, 100, Micros::ZERO, now).is_some() {
+            if lead.look(&picture, 4, || 100, Micros::ZERO, now).is_some() {
                 given.push(now);
             }
         }
@@ -168,8 +168,12 @@
     assert_eq!(picture.link("a", &Host::Node("b".into()), now), Sure::OneWay);
     let mut lead = Lead::default();
     let began = at(0.0);
-    assert_eq!(lead.look(picture, 4, 200, began, now), None, "not before it has held");
-    let found = lead.look(&world.pictures(14.0)[0], 4, 200, began, at(14.0)).unwrap();
+    assert_eq!(
+        lead.look(picture, 4, || 200, began, now),
+        None,
+        "not before it has held"
+    );
+    let found = lead.look(&world.pictures(14.0)[0], 4, || 200, began, at(14.0)).unwrap();
     assert_eq!((found.to.as_deref(), found.why), (Some("b"), Why::ReachesLess));
 }
 
@@ -183,14 +187,14 @@
     }
     let picture = world.pictures(10.0)[0].clone();
     let mut lead = Lead::default();
-    assert_eq!(lead.look(&picture, 4, 40, Micros::ZERO, at(10.0)), None);
+    assert_eq!(lead.look(&picture, 4, || 40, Micros::ZERO, at(10.0)), None);
     assert_eq!(
-        lead.look(&picture, 4, 40, Micros::ZERO, at(14.0)),
+        lead.look(&picture, 4, || 40, Micros::ZERO, at(14.0)),
         None,
         "most of its workers come here"
     );
-    assert_eq!(lead.look(&picture, 4, 100, Micros::ZERO, at(14.0)), None);
-    let found = lead.look(&picture, 4, 100, Micros::ZERO, at(18.0)).unwrap();
+    assert_eq!(lead.look(&picture, 4, || 100, Micros::ZERO, at(14.0)), None);
+    let found = lead.look(&picture, 4, || 100, Micros::ZERO, at(18.0)).unwrap();
     assert_eq!((found.to, found.why), (None, Why::Alone));
     assert!(lead.gave_lately(at(19.0)) && !lead.gave_lately(at(25.0)));
 }
--- a/src/coordination/book.rs
+++ b/src/coordination/book.rs
@@ -476,6 +476,14 @@
     pub day_ms: u64,
 }
 
+/// What a team's jobs hold and wait for, in cores, and how long the oldest has waited.
+#[derive(Clone, Copy, Debug, Default)]
+struct TeamShare {
+    held: f64,
+    wanted: f64,
+    oldest: Micros,
+}
+
 /// Whom to answer once an early report can be.
 pub enum EarlyReport {
     Worker(u64),
@@ -779,6 +787,20 @@
         }
     }
 
+    /// What each team that has jobs holds and waits for.
+    fn team_shares(&self, now: Micros) -> BTreeMap<&str, TeamShare> {
+        let mut shares: BTreeMap<&str, TeamShare> = BTreeMap::new();
+        for job in self.jobs.values() {
+            let share = shares.entry(&job.spec.team).or_default();
+            share.held += f64::from(job.held) * job.spec.cpus;
+            if job.may_run() && !job.waiting.is_empty() {
+                share.wanted += job.waiting.len() as f64 * job.spec.cpus;
+                share.oldest = share.oldest.max(now.since(job.arrived));
+            }
+        }
+        shares
+    }
+
     /// What an operator wants to see: what each team holds and what waits.
     pub fn log_summary(&self, site: &Site, now: Micros) {
         let up = self.machines.values().filter(|m| m.state == MachineState::Up).count();
@@ -816,15 +838,9 @@
             undescribed = c.unwritten.len(),
             "book"
         );
+        let shares = self.team_shares(now);
         for team in &site.settings.params.teams {
-            let (mut held, mut wanted, mut oldest) = (0.0, 0.0, Micros::ZERO);
-            for job in self.jobs.values().filter(|j| j.spec.team == team.name) {
-                held += f64::from(job.held) * job.spec.cpus;
-                if job.may_run() && !job.waiting.is_empty() {
-                    wanted += job.waiting.len() as f64 * job.spec.cpus;
-                    oldest = oldest.max(now.since(job.arrived));
-                }
-            }
+            let TeamShare { held, wanted, oldest } = shares.get(team.name.as_str()).copied().unwrap_or_default();
             if held > 0.0 || wanted > 0.0 {
                 tracing::info!(
                     team = team.name,
--- a/src/coordination/carry.rs
+++ b/src/coordination/carry.rs
@@ -506,7 +506,9 @@
             }
         };
         let others = self.site.settings.peers.len() as u32;
-        let machines = self.leader.as_ref().map_or(0, |l| l.working_machines());
+        // Counted only where the decision depends on it: it looks at every machine, and this is
+        // asked with every batch.
+        let machines = || self.leader.as_ref().map_or(0, |l| l.working_machines());
         let found = self.carry.lead.look(&self.carry.picture, others, machines, began, now);
         if let Some(Handover { to, why }) = found {
             tracing::warn!(term = self.lead.term(), to, why = why.text(), "giving up the lead");
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -27,6 +27,8 @@
 const BATCH: f64 = 6.0;
 /// Requests on their way at a time.
 const CLAIMS: usize = 16;
+/// Machines in a release: the most that the cloud takes.
+const RELEASED_AT_ONCE: usize = 100;
 const MOST: f64 = 50.0;
 
 enum CloudWait {
@@ -105,6 +107,9 @@
     listed: bool,
     blocked: BTreeMap<(String, String, bool), Micros>,
     releasing: usize,
+    /// Machines given up whose release has yet to be asked for: looked at with every batch
+    /// instead of all machines.
+    to_release: BTreeSet<MachineId>,
     next_decide: Micros,
     /// When ordinary machines are thought of again.
     next_advice: Micros,
@@ -124,6 +129,7 @@
             listed: false,
             blocked: BTreeMap::new(),
             releasing: 0,
+            to_release: BTreeSet::new(),
             next_decide: now,
             next_advice: now,
             average: 0.0,
@@ -273,6 +279,7 @@
                         leader.machine_gone(&name, now);
                     } else if let Some(m) = leader.machines.get_mut(&name) {
                         m.release_sent = None;
+                        leader.fleet.to_release.insert(name);
                     }
                 }
             }
@@ -389,6 +396,7 @@
         if listed.phase == "failed" && m.state != MachineState::Doomed {
             tracing::info!(machine = listed.name, "machine failed");
             m.state = MachineState::Doomed;
+            self.fleet.to_release.insert(m.name.clone());
         }
     }
 
@@ -498,6 +506,7 @@
                 let (tasks, services) = (m.tasks.len(), m.services);
                 tracing::info!(machine = %m.name, zone = &*m.zone, why, tasks, services, "machine given up");
                 m.state = MachineState::Doomed;
+                self.fleet.to_release.insert(m.name.clone());
                 self.dirty = true;
             }
         }
@@ -510,13 +519,12 @@
             return;
         }
         // What is lost frees its tasks only when it is returned: that first.
-        let doomed: Vec<MachineId> = self
-            .machines
-            .values()
-            .filter(|m| m.state == MachineState::Doomed && m.release_sent.is_none())
-            .take(100)
-            .map(|m| m.name.clone())
-            .collect();
+        let machines = &self.machines;
+        let waits = |m: &Machine| m.state == MachineState::Doomed && m.release_sent.is_none();
+        self.fleet
+            .to_release
+            .retain(|name| machines.get(name).is_some_and(waits));
+        let doomed: Vec<MachineId> = self.fleet.to_release.iter().take(RELEASED_AT_ONCE).cloned().collect();
         if !doomed.is_empty() && self.fleet.releasing < 2 {
             let request = CloudRequest::Release(Hosts {
                 machines: doomed.iter().map(|n| n.to_string()).collect(),
@@ -979,6 +987,7 @@
             let doubted = faulty || now < m.slow_until || (m.is_deaf() && now.since(since) > times::FAULTY);
             if doubted {
                 m.state = MachineState::Doomed;
+                self.fleet.to_release.insert(m.name.clone());
                 continue;
             }
             if now.since(since) < idle {
@@ -992,6 +1001,7 @@
                 tracing::debug!(machine = %m.name, "idle machine returned");
                 supply[kind].cores = rest;
                 m.state = MachineState::Doomed;
+                self.fleet.to_release.insert(m.name.clone());
             }
         }
     }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -534,14 +534,18 @@
             && pass.now.since(job.arrived) < IMAGE_PATIENCE
             && self.better_to_stop(&pass.rooms, job);
         let Some(job) = self.jobs.get_mut(id) else { return false };
-        let kinds = Pass::kinds_for(&job.spec, &self.kinds);
+        let mut kinds: Option<[Vec<usize>; 2]> = None;
         let class = job.class.clone();
         let i = usize::from(class.gpu);
         let (max_cpus, max_gpus) = site.limits(&job.spec.team);
-        let mut zones = match (job.spec.one_zone || job.spec.spread, zones_of(job, &self.machines)) {
-            (true, None) => return false,
-            (_, zones) => zones.unwrap_or_default(),
-        };
+        // Where its tasks are matters to a rule about zones only; to find out looks at all of them.
+        let mut zones = BTreeMap::new();
+        if job.spec.one_zone || job.spec.spread {
+            let Some(known) = zones_of(job, &self.machines) else {
+                return false;
+            };
+            zones = known;
+        }
         let mut borrowed = 0;
         // A job that fails everywhere is tried with one task at a time.
         let suspect = job.is_suspect(pass.now);
@@ -565,13 +569,14 @@
             if held.0 + job.spec.cpus > max_cpus + EPS || held.1 + job.spec.gpus > max_gpus + EPS {
                 return false;
             }
+            let kinds = kinds.get_or_insert_with(|| Pass::kinds_for(&job.spec, &self.kinds));
             let image_at = self.image_at.get_key_value(job.spec.image.as_str());
             let at = image_at.map(|(_, at)| at);
             let Some((best, there)) = pass.best_room(
                 job,
                 leftovers,
                 &zones,
-                &kinds,
+                kinds,
                 &self.kinds,
                 at,
                 &self.machines,
