--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -2,17 +2,22 @@
 //! workers and users, written from the protocol, around real controllers'
 //! coordination code. Every rule is checked as things happen.
 
+mod answers;
 pub mod cloud;
 pub mod links;
 mod lives;
+mod looks;
 mod matrix;
 mod meetings;
+mod outbox;
 pub mod planted;
 mod renewals;
 pub mod rules;
 pub mod script;
 pub mod shares;
+mod starving;
 pub mod store;
+pub mod troubles;
 pub mod users;
 pub mod workers;
 
@@ -45,6 +50,10 @@
     /// The answer to a user's request, and when it left the controller.
     UserAnswer(String, u64, u64, Outgoing),
     UserLate(String, u64),
+    /// A question to one node beside those that a user asks in turn, and its answer.
+    Ask(String, users::Asked, usize),
+    LookAnswer(u64, u64, Outgoing),
+    OddRequests(usize),
     Step(usize),
     Heal(usize),
     Start(usize),
@@ -57,6 +66,7 @@
 pub enum Origin {
     Worker(String, u64),
     User(String, u64),
+    Look(u64),
 }
 
 pub struct Node {
@@ -110,6 +120,7 @@
     pub trap: Option<(usize, u64)>,
     /// The next controller that writes such a key ends before it hears of it, for so long.
     pub ends_on: Vec<(String, u64)>,
+    pub lasting: troubles::Lasting,
 }
 
 impl Broken {
@@ -145,6 +156,9 @@
     pub workers: BTreeMap<String, workers::Worker>,
     pub users: BTreeMap<String, users::User>,
     pub rules: rules::Rules,
+    pub answers: answers::Answers,
+    pub starving: starving::Starving,
+    pub troubles: looks::Troubles,
     pub script: script::Script,
     pub broken: Broken,
     pub origins: BTreeMap<u64, Origin>,
@@ -155,6 +169,7 @@
     pub results: BTreeSet<String>,
     /// A fault that the search for meetings is to find.
     pub planted: Option<planted::Fault>,
+    planted_cache: planted::Cache,
 }
 
 impl World {
@@ -190,6 +205,9 @@
             workers: BTreeMap::new(),
             users: BTreeMap::new(),
             rules: rules::Rules::new(&script),
+            answers: answers::Answers::new(&script),
+            starving: starving::Starving::default(),
+            troubles: looks::Troubles::default(),
             broken: Broken {
                 zone_of,
                 ..Broken::default()
@@ -200,6 +218,7 @@
             links_told: BTreeMap::new(),
             results: BTreeSet::new(),
             planted: None,
+            planted_cache: BTreeMap::new(),
             script,
         }
     }
@@ -327,10 +346,14 @@
             Ev::User(job) => self.user_acts(&job),
             Ev::UserAnswer(job, rid, left, answer) => self.user_answered(&job, rid, left, answer),
             Ev::UserLate(job, rid) => self.user_late(&job, rid),
+            Ev::Ask(job, asked, n) => self.ask(&job, asked, n),
+            Ev::LookAnswer(number, left, answer) => self.look_answered(number, left, &answer),
+            Ev::OddRequests(step) => self.odd_requests(step),
             Ev::Step(i) => self.step(i),
             Ev::Heal(i) => self.heal(i),
             Ev::Look => {
                 self.rules.look_at_services(self.now, &self.workers, &self.users);
+                self.look_for_starving();
                 self.after(SEC, Ev::Look);
             }
         }
@@ -364,6 +387,7 @@
         };
         let effects = core.handle(now, batch);
         let effects = self.plant(n, effects);
+        self.notice_leader(n);
         let asks =
             |e: &Effect| matches!(e, Effect::Store { request, .. } if matches!(request, StoreRequest::Grant { .. }));
         if effects.iter().any(asks) {
@@ -373,6 +397,7 @@
             }
         }
         for effect in effects {
+            self.note((n, life), &effect);
             let hop = self.hop();
             match effect {
                 Effect::Reply { id, answer } => match self.origins.remove(&id) {
@@ -384,7 +409,8 @@
                             self.after(hop + late, Ev::ReportAnswer(name, rid, answer));
                         }
                     }
-                    Some(Origin::User(..)) if self.broken.cut_off(n, "users") => {}
+                    Some(Origin::User(..) | Origin::Look(_)) if self.broken.cut_off(n, "users") => {}
+                    Some(Origin::Look(number)) => self.after(hop, Ev::LookAnswer(number, self.now, answer)),
                     Some(Origin::User(job, rid)) => self.after(hop, Ev::UserAnswer(job, rid, self.now, answer)),
                     None => {}
                 },
@@ -420,8 +446,7 @@
                 } => {
                     let answer = glenhaven::coordination::DirectAnswer::Unknown;
                     self.after(timeout.0, Ev::Command(n, life, Command::Direct { id, answer }));
-                    let held = self.broken.hold_direct.values().copied().max().unwrap_or(0);
-                    self.after(hop + held, Ev::Direct(n, life, id, addr, body));
+                    self.send_direct(n, life, id, hop, addr, body);
                 }
                 Effect::Peer { to, message } => {
                     let Some(other) = self.nodes.iter().position(|x| x.settings.node == to) else {
@@ -445,6 +470,32 @@
         }
     }
 
+    /// Notes what a controller tells workers to do, and users of their jobs.
+    fn note(&mut self, from: answers::Life, effect: &Effect) {
+        let now = self.now;
+        match effect {
+            Effect::Direct { id, body, .. } => {
+                let carrier = answers::Carrier::Direct(from, *id);
+                self.answers.leaves(from, carrier, &body.orders, now);
+            }
+            Effect::Reply { id, answer } => match self.origins.get(id) {
+                Some(Origin::Worker(name, rid)) => {
+                    let carrier = answers::Carrier::Answer(name.clone(), *rid);
+                    if let Ok(orders) = Self::read_answer(answer) {
+                        self.answers.leaves(from, carrier, &orders.orders, now);
+                    }
+                }
+                Some(_) => {
+                    if let Ok(state) = from_cbor(&answer.body) {
+                        self.answers.says(from, &state, now);
+                    }
+                }
+                None => {}
+            },
+            _ => {}
+        }
+    }
+
     fn step(&mut self, i: usize) {
         use script::Act;
         let step = self.script.steps[i].clone();
@@ -467,6 +518,7 @@
                 let mut user = users::User::new(*spec.clone(), step.run_s, step.mistake);
                 user.submitted = true;
                 user.accepted = Some(self.now);
+                self.answers.inherited(&spec.id);
                 self.users.insert(spec.id.clone(), user);
                 self.event(Ev::User(spec.id));
             }
@@ -534,10 +586,7 @@
             Act::Hang(count) => {
                 let until = self.now + step.lasts.unwrap_or(SEC);
                 for name in self.busiest(count) {
-                    if let Some(w) = self.workers.get_mut(&name) {
-                        w.hangs_until = until;
-                    }
-                    self.after(until - self.now, Ev::Worker(name));
+                    self.hang(&name, until);
                 }
             }
             Act::Kill(count) => {
@@ -614,6 +663,18 @@
                 self.tell_watches();
             }
             Act::StateLimits => self.store.lower(),
+            Act::CancelNow(count, hangs) => self.cancel_now(count, hangs),
+            Act::CancelAtEnd(share) => {
+                self.troubles.cancel_at_end.insert(i, share);
+            }
+            Act::CloseLooks => {
+                self.troubles.close_looks.insert(i);
+            }
+            Act::OddRequests => {
+                self.troubles.odd_requests.insert(i);
+                self.odd_requests(i);
+            }
+            Act::Trouble(trouble) => self.begin_trouble(i, &trouble),
             Act::Storm(factor) => {
                 self.broken.storm.insert(i, factor);
                 let all: Vec<String> = self.users.keys().cloned().collect();
@@ -645,6 +706,7 @@
                 self.run(n, batch);
             }
         }
+        self.troubles.heal(i);
         let b = &mut self.broken;
         b.state_out.remove(&i);
         b.state_deaf.remove(&i);
@@ -664,6 +726,7 @@
         b.slow_answers.remove(&i);
         b.boots.remove(&i);
         b.storm.remove(&i);
+        b.lasting.heal(i);
         if self.broken.state_out.is_empty() {
             self.store.outage(false, self.now);
         }
