A job that waits for others is answered at once when no page accepted it before

Change: one read of the news tells whether another page accepted the job earlier; if none did, nobody was told anything older, and it is answered.

--- a/src/coordination/desk.rs
+++ b/src/coordination/desk.rs
@@ -75,6 +75,8 @@
     /// read for it, and whether all news were read for it.
     missing: BTreeSet<String>,
     synced: bool,
+    /// A page of this node accepts it; whether another one did before is being read.
+    accepted_here: bool,
 }
 
 /// What a page holds beside its jobs.
@@ -93,6 +95,10 @@
     checked: bool,
     /// It runs until it is cancelled, as far as its description was seen.
     service: bool,
+    /// The revision of the page that was seen to accept it; 0: none was.
+    page: u64,
+    /// Another page accepts it as well: its user may have been told of it before.
+    repeated: bool,
 }
 
 /// How far the pages of acceptances are read.
@@ -205,6 +211,8 @@
             phase,
             checked: true,
             service: false,
+            page: 0,
+            repeated: false,
         };
         match self.known.get_mut(job) {
             Some(known) if known.version >= version => {}
@@ -321,6 +329,7 @@
             at: sh.now,
             missing: BTreeSet::new(),
             synced: false,
+            accepted_here: false,
         };
         self.pending.insert(id, pending);
         self.advance(sh, site, id);
--- a/src/coordination/desk/accept.rs
+++ b/src/coordination/desk/accept.rs
@@ -69,6 +69,10 @@
         if let Some(known) = self.known.get_mut(&job) {
             known.checked |= checked;
             known.service |= service;
+            if known.page == 0 {
+                known.page = version;
+            }
+            known.repeated |= known.page != version;
             if known.checked && !known.phase.is_final() {
                 self.chains.open(&job);
             }
@@ -87,6 +91,8 @@
                 phase: Phase::Pending,
                 checked,
                 service,
+                page: version,
+                repeated: false,
             },
         );
     }
@@ -152,8 +158,13 @@
             let phase = self.final_phase(&job).unwrap_or(phase);
             if !phase.is_final() && self.waits(&job) {
                 // Another node may have accepted it before, and told its user since that it is
-                // withdrawn with one before it: all news tell.
-                self.to_sync.extend(self.submits.remove(&job).unwrap_or_default());
+                // withdrawn with one before it: the news up to now tell.
+                for id in self.submits.remove(&job).unwrap_or_default() {
+                    if let Some(pending) = self.pending.get_mut(&id) {
+                        pending.accepted_here = true;
+                        self.to_sync.push(id);
+                    }
+                }
                 continue;
             }
             for id in self.submits.remove(&job).unwrap_or_default() {
--- a/src/coordination/desk/answers.rs
+++ b/src/coordination/desk/answers.rs
@@ -210,6 +210,13 @@
         let Some(pending) = self.pending.get(&id) else { return };
         let job = pending.job.clone();
         let phase = self.final_phase(&job).or(self.known.get(&job).map(|k| k.phase));
+        let repeated = self.known.get(&job).is_none_or(|k| k.repeated);
+        if let (true, false, Some(phase)) = (pending.accepted_here, repeated, phase) {
+            // No page accepted it before this node's: nobody was told anything of it yet.
+            self.waits.record(sh.now.since(pending.at));
+            self.pending.remove(&id);
+            return self.answer(sh, id, &job, phase, 201);
+        }
         match (&pending.ask, phase) {
             // Something before it has yet to be read.
             (_, Some(phase)) if !phase.is_final() && self.chains.stand(&job) == Some(Stand::Unsettled) => {
