--- /dev/null
+++ b/crates/standins/src/http.rs
@@ -0,0 +1,257 @@
+//! HTTP/1.1 as the stand-ins speak it: bodies with a length, one request at a time on a
+//! connection.
+
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::io::{Error, ErrorKind, Result};
+use std::net::{SocketAddr, TcpStream};
+
+/// Headers of one message.
+const MAX_HEADERS: usize = 32;
+/// The largest head.
+const MAX_HEAD: usize = 16 * 1024;
+/// The largest body: a list of keys has up to 512 KiB, a watch's answer has no limit.
+const MAX_BODY: usize = 16 * 1024 * 1024;
+/// Bytes asked of a connection at once.
+const CHUNK: usize = 4096;
+
+/// A request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Request {
+    /// GET, POST or DELETE.
+    pub method: String,
+    /// The path with its query.
+    pub path: String,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// An answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Response {
+    /// The status.
+    pub status: u16,
+    /// What `Retry-After` says, in seconds.
+    pub retry_after_s: Option<u32>,
+    /// The body.
+    pub body: Vec<u8>,
+    /// Whether the connection is closed after it.
+    pub close: bool,
+}
+
+impl Response {
+    /// An answer with this body.
+    pub fn new(status: u16, body: Vec<u8>) -> Response {
+        Response {
+            status,
+            retry_after_s: None,
+            body,
+            close: false,
+        }
+    }
+}
+
+/// What is looked at in a message's headers.
+#[derive(Default)]
+struct Headers {
+    length: usize,
+    retry_after_s: Option<u32>,
+    close: bool,
+}
+
+impl Headers {
+    fn read(headers: &[httparse::Header]) -> Result<Headers> {
+        let mut found = Headers::default();
+        for header in headers {
+            let value = std::str::from_utf8(header.value).unwrap_or("").trim();
+            if header.name.eq_ignore_ascii_case("content-length") {
+                found.length = value.parse().map_err(|_| bad("content-length"))?;
+            } else if header.name.eq_ignore_ascii_case("retry-after") {
+                found.retry_after_s = value.parse().ok();
+            } else if header.name.eq_ignore_ascii_case("connection") {
+                found.close = value.eq_ignore_ascii_case("close");
+            } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+                return Err(bad("transfer-encoding"));
+            }
+        }
+        if found.length > MAX_BODY {
+            return Err(bad("content-length"));
+        }
+        Ok(found)
+    }
+}
+
+fn bad(what: &str) -> Error {
+    Error::new(ErrorKind::InvalidData, format!("a message with a bad {what}"))
+}
+
+/// Bytes that went through a connection.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Bytes read.
+    pub read: u64,
+    /// Bytes written.
+    pub written: u64,
+}
+
+/// A connection and what has been read of it beyond the last message.
+pub struct Connection {
+    stream: Async<TcpStream>,
+    rest: Vec<u8>,
+    traffic: Traffic,
+}
+
+impl Connection {
+    /// Takes over a connected stream.
+    pub fn new(stream: Async<TcpStream>) -> Connection {
+        stream.get_ref().set_nodelay(true).ok();
+        Connection {
+            stream,
+            rest: vec![],
+            traffic: Traffic::default(),
+        }
+    }
+
+    /// Connects to an address.
+    pub async fn open(addr: SocketAddr) -> Result<Connection> {
+        Ok(Connection::new(Async::<TcpStream>::connect(addr).await?))
+    }
+
+    /// Bytes since the last look.
+    pub fn take_traffic(&mut self) -> Traffic {
+        std::mem::take(&mut self.traffic)
+    }
+
+    /// The address at which the other side reached this one.
+    pub fn local_addr(&self) -> Result<SocketAddr> {
+        self.stream.get_ref().local_addr()
+    }
+
+    /// Reads more; `false` at the end of the stream.
+    async fn more(&mut self) -> Result<bool> {
+        let mut chunk = [0u8; CHUNK];
+        let n = self.stream.read(&mut chunk).await?;
+        self.rest.extend_from_slice(&chunk[..n]);
+        self.traffic.read += n as u64;
+        Ok(n > 0)
+    }
+
+    /// Reads until `parse` has found a whole head: what it found, without the head's bytes.
+    async fn head<T>(&mut self, parse: impl Fn(&[u8]) -> Result<Option<(usize, T)>>) -> Result<Option<T>> {
+        loop {
+            if let Some((length, head)) = parse(&self.rest)? {
+                self.rest.drain(..length);
+                return Ok(Some(head));
+            }
+            if self.rest.len() > MAX_HEAD {
+                return Err(bad("head"));
+            }
+            if !self.more().await? {
+                return match self.rest.is_empty() {
+                    true => Ok(None),
+                    false => Err(ErrorKind::UnexpectedEof.into()),
+                };
+            }
+        }
+    }
+
+    async fn body(&mut self, length: usize) -> Result<Vec<u8>> {
+        while self.rest.len() < length {
+            if !self.more().await? {
+                return Err(ErrorKind::UnexpectedEof.into());
+            }
+        }
+        let rest = self.rest.split_off(length);
+        Ok(std::mem::replace(&mut self.rest, rest))
+    }
+
+    /// Reads a request; `None` when the other side has closed the connection.
+    pub async fn read_request(&mut self) -> Result<Option<Request>> {
+        let Some((method, path, headers)) = self.head(request_head).await? else {
+            return Ok(None);
+        };
+        let body = self.body(headers.length).await?;
+        Ok(Some(Request { method, path, body }))
+    }
+
+    /// Reads an answer.
+    pub async fn read_response(&mut self) -> Result<Response> {
+        let head = self.head(response_head).await?;
+        let (status, headers) = head.ok_or(ErrorKind::UnexpectedEof)?;
+        Ok(Response {
+            status,
+            retry_after_s: headers.retry_after_s,
+            body: self.body(headers.length).await?,
+            close: headers.close,
+        })
+    }
+
+    async fn write(&mut self, head: String, body: &[u8]) -> Result<()> {
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(body);
+        self.stream.write_all(&bytes).await?;
+        self.traffic.written += bytes.len() as u64;
+        Ok(())
+    }
+
+    /// Writes a request.
+    pub async fn write_request(&mut self, request: &Request) -> Result<()> {
+        let head = format!(
+            "{} {} HTTP/1.1\r\nhost: glenhaven\r\ncontent-type: application/cbor\r\ncontent-length: {}\r\n\r\n",
+            request.method,
+            request.path,
+            request.body.len()
+        );
+        self.write(head, &request.body).await
+    }
+
+    /// Writes an answer.
+    pub async fn write_response(&mut self, response: &Response) -> Result<()> {
+        let head = format!(
+            "HTTP/1.1 {} {}\r\ncontent-type: application/cbor\r\ncontent-length: {}\r\n\r\n",
+            response.status,
+            reason(response.status),
+            response.body.len()
+        );
+        self.write(head, &response.body).await
+    }
+
+    /// Makes one call.
+    pub async fn call(&mut self, request: &Request) -> Result<Response> {
+        self.write_request(request).await?;
+        self.read_response().await
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200..=299 => "OK",
+        400..=499 => "Refused",
+        _ => "Unavailable",
+    }
+}
+
+fn request_head(bytes: &[u8]) -> Result<Option<(usize, (String, String, Headers))>> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    match request.parse(bytes).map_err(|e| bad(&e.to_string()))? {
+        httparse::Status::Partial => Ok(None),
+        httparse::Status::Complete(length) => {
+            let method = request.method.unwrap_or("").to_string();
+            let path = request.path.unwrap_or("").to_string();
+            Ok(Some((length, (method, path, Headers::read(request.headers)?))))
+        }
+    }
+}
+
+fn response_head(bytes: &[u8]) -> Result<Option<(usize, (u16, Headers))>> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    match response.parse(bytes).map_err(|e| bad(&e.to_string()))? {
+        httparse::Status::Partial => Ok(None),
+        httparse::Status::Complete(length) => {
+            let status = response.code.unwrap_or(0);
+            Ok(Some((length, (status, Headers::read(response.headers)?))))
+        }
+    }
+}
--- a/tests/sim/rules.rs
+++ b/crates/standins/src/rules.rs
@@ -1,19 +1,26 @@
 //! The protocol's rules, checked independently of the code under test.
 
-use super::script::Script;
-use super::users::User;
-use super::workers::Worker;
-use super::SEC;
+use crate::user::{job_of, User};
+use crate::worker::Worker;
+use crate::SEC;
 use glenhaven::protocol::users::Phase;
 use glenhaven::protocol::users::Shape;
+use glenhaven::settings::Team;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// What was seen of a play, and which rules were broken in it.
 pub struct Rules {
+    /// The rules that were broken, each with what broke it.
     pub broken: Vec<String>,
+    /// Tasks that have begun.
     pub starts: u64,
+    /// Tasks killed because a worker's lease expired.
     pub lease_kills: usize,
+    /// Tasks that failed.
     pub failures: usize,
+    /// Running tasks stopped by command without their job being cancelled.
     pub stops: usize,
+    /// When each task first began.
     pub first_start: BTreeMap<String, u64>,
     /// Replica seconds missed by each service whose replicas all ran once.
     pub missed: BTreeMap<String, u64>,
@@ -21,12 +28,9 @@
     cancel: u64,
 }
 
-fn job_of(task: &str) -> &str {
-    task.rsplit_once('/').map_or(task, |x| x.0)
-}
-
 impl Rules {
-    pub fn new(script: &Script) -> Rules {
+    /// A checker of these teams' limits; a cancelled job's tasks are gone within `cancel_s`.
+    pub fn new(teams: &[Team], cancel_s: f64) -> Rules {
         Rules {
             broken: vec![],
             starts: 0,
@@ -35,15 +39,12 @@
             stops: 0,
             first_start: BTreeMap::new(),
             missed: BTreeMap::new(),
-            limits: script
-                .base
-                .params
-                .teams
+            limits: teams
                 .iter()
                 .filter(|t| t.cpus_max > 0.0)
                 .map(|t| (t.name.clone(), t.cpus_max))
                 .collect(),
-            cancel: (script.base.params.workers.cancel_s * SEC as f64) as u64,
+            cancel: (cancel_s * SEC as f64) as u64,
         }
     }
 
--- a/tests/sim/store.rs
+++ b/crates/standins/src/store.rs
@@ -1,13 +1,14 @@
 //! A stand-in for the state service.
 
-use super::links::End;
-use super::{Ev, World, MS, SEC};
+use crate::{MS, SEC};
 use ciborium::Value;
-use glenhaven::coordination::Command;
 use glenhaven::protocol::store::{Change, Event, Events, Row, Rows, StoreAnswer, StoreRequest, Txn};
 use glenhaven::protocol::{json_size, store::Condition};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Rows in one page of a list, unless said otherwise: few, so that paging is exercised.
+const SMALL_PAGE: usize = 40;
+
 struct Entry {
     value: Value,
     version: u64,
@@ -19,22 +20,22 @@
     ends: u64,
 }
 
-struct Watch {
-    node: usize,
-    life: u64,
-    id: u64,
-    prefix: String,
-    after: u64,
-    ends: u64,
-}
-
+/// What the service holds, and its limits.
 pub struct Store {
     keys: BTreeMap<String, Entry>,
+    /// Counts every change.
     pub revision: u64,
     leases: BTreeMap<u64, Lease>,
     log: Vec<Event>,
-    watches: BTreeMap<u64, Watch>,
-    out: bool,
+    /// Changes up to this revision are no longer in the log.
+    compacted: u64,
+    /// Rows in one page of a list.
+    pub page: usize,
+    /// Whether each written page of the book is compared with all others: its cost grows
+    /// with their number.
+    pub audits: bool,
+    /// Whether it answers nobody just now.
+    pub out: bool,
     rps: f64,
     write_rps: f64,
     txn_ops: usize,
@@ -42,21 +43,27 @@
     /// Lower limits of values, operations and changes that are announced.
     pub next: Option<(f64, usize, f64)>,
     level: (f64, f64, u64),
+    /// Requests refused above the limits.
     pub refused: u64,
+    /// Changes made.
     pub changes: u64,
     /// Requests in each second.
     pub by_second: BTreeMap<u64, u64>,
+    /// What should never have been asked of it.
     pub problems: Vec<String>,
 }
 
 impl Store {
+    /// An empty service with these limits.
     pub fn new(rps: f64, write_rps: f64, txn_ops: usize, value_kb: f64) -> Store {
         Store {
             keys: BTreeMap::new(),
             revision: 1,
             leases: BTreeMap::new(),
             log: vec![],
-            watches: BTreeMap::new(),
+            compacted: 0,
+            page: SMALL_PAGE,
+            audits: true,
             out: false,
             rps,
             write_rps,
@@ -153,6 +160,13 @@
         value.map_or(0, |t| t.term)
     }
 
+    /// The controller that the key `term` names.
+    pub fn leader(&self) -> Option<String> {
+        use glenhaven::bookkeeping::{keys, records};
+        let entry = self.keys.get(keys::TERM)?;
+        records::from_value::<records::Term>(&entry.value).map(|t| t.leader)
+    }
+
     /// After an outage every lease has its full time again.
     pub fn outage(&mut self, out: bool, now: u64) {
         if self.out && !out {
@@ -163,7 +177,8 @@
         self.out = out;
     }
 
-    fn expire(&mut self, now: u64) {
+    /// Ends the leases whose time is over.
+    pub fn expire(&mut self, now: u64) {
         if self.out {
             return;
         }
@@ -189,7 +204,7 @@
     }
 
     /// Whether a request is taken, and if not whether that is for its changes.
-    fn allow(&mut self, writes: f64, now: u64) -> Result<(), StoreAnswer> {
+    pub fn allow(&mut self, writes: f64, now: u64) -> Result<(), StoreAnswer> {
         *self.by_second.entry(now / SEC).or_default() += 1;
         let span = (now - self.level.2) as f64 / SEC as f64;
         self.level.0 = (self.level.0 + span * self.rps).min(self.rps);
@@ -213,6 +228,7 @@
         self.keys.get(&c.key).map_or(0, |e| e.version) == c.version
     }
 
+    /// Executes a transaction.
     pub fn apply(&mut self, txn: &Txn) -> StoreAnswer {
         let size = json_size(txn);
         let large = txn.changes.iter().any(|c| match c {
@@ -263,7 +279,9 @@
             .collect();
         for change in &txn.changes {
             if let Change::Put { key, value, .. } = change {
-                self.check_starts(key, value, &done);
+                if self.audits {
+                    self.check_starts(key, value, &done);
+                }
                 self.check_kept(key, value, txn);
             }
         }
@@ -384,7 +402,8 @@
         }
     }
 
-    fn answer(&mut self, request: &StoreRequest, now: u64) -> StoreAnswer {
+    /// Executes a request; a watch is not one that is answered at once.
+    pub fn answer(&mut self, request: &StoreRequest, now: u64) -> StoreAnswer {
         match request {
             StoreRequest::Get { key } => match self.keys.get(key) {
                 Some(e) => StoreAnswer::Row(Row {
@@ -407,10 +426,9 @@
                         version: e.version,
                     })
                     .collect();
-                // Small pages, so that paging is exercised.
-                let more = rows.len() > 40;
+                let more = rows.len() > self.page;
                 StoreAnswer::Rows(Rows {
-                    items: rows.into_iter().take(40).collect(),
+                    items: rows.into_iter().take(self.page).collect(),
                     more,
                     revision: self.revision,
                 })
@@ -441,156 +459,41 @@
             StoreRequest::Watch { .. } => StoreAnswer::Malformed,
         }
     }
-}
-
-impl World {
-    fn is_late_write(&mut self, request: &StoreRequest) -> bool {
-        let StoreRequest::Txn(txn) = request else { return false };
-        let writes = |prefix: &String| txn.changes.iter().any(|c| c.key().starts_with(prefix.as_str()));
-        let shares = self.broken.late_writes.values().filter(|(_, prefix)| writes(prefix));
-        let share = shares.map(|(share, _)| *share).fold(0.0, f64::max);
-        share > 0.0 && self.rng.f64() < share
-    }
 
-    fn deaf(&self, n: usize) -> bool {
-        self.broken.state_deaf.values().any(|d| *d == n)
-    }
-
-    pub fn store_request(&mut self, n: usize, life: u64, id: u64, request: StoreRequest) {
-        let now = self.now;
-        self.store.expire(now);
-        let hop = self.hop();
-        let mut lost = false;
-        // What comes late was taken in long ago: it is executed whatever happens meanwhile.
-        let late = life == u64::MAX && matches!(request, StoreRequest::Txn(_));
-        let answer = if late && !self.store.out {
-            self.store.answer(&request, now)
-        } else if self.store.out || self.deaf(n) {
-            StoreAnswer::Refused
-        } else {
-            let writes = match &request {
-                StoreRequest::Txn(txn) => txn.changes.len() as f64,
-                _ => 0.0,
-            };
-            if let Err(refused) = self.store.allow(writes, now) {
-                refused
-            } else if let StoreRequest::Watch { prefix, after, wait_ms } = request {
-                let watch = self.id();
-                self.store.watches.insert(
-                    watch,
-                    Watch {
-                        node: n,
-                        life,
-                        id,
-                        prefix,
-                        after,
-                        ends: now + wait_ms * MS,
-                    },
-                );
-                self.after(wait_ms * MS, Ev::WatchEnds(watch));
-                self.tell_watches();
-                return;
-            } else if self.is_late_write(&request) {
-                // Its sender hears nothing, and newer ones are executed before it.
-                let late = 2 * SEC + self.rng.u64(0..10 * SEC);
-                self.after(late, Ev::Store(n, u64::MAX, id, request));
-                return;
-            } else if let (StoreRequest::Txn(txn), Some(late)) =
-                (&request, self.broken.lose_txn.values().copied().next())
-            {
-                // Unanswered; executed now, or later when the sender has
-                // long given up.
-                if !txn.changes.is_empty() {
-                    lost = true;
-                    if late > 0 && self.rng.bool() {
-                        let _ = hop;
-                        let request = StoreRequest::Txn(txn.clone());
-                        // A life that never was: the answer reaches nobody.
-                        self.after(late, Ev::Store(n, u64::MAX, id, request));
-                        return;
-                    }
-                }
-                self.store.answer(&request, now)
-            } else {
-                self.store.answer(&request, now)
-            }
-        };
-        if let (StoreRequest::Txn(txn), StoreAnswer::Committed { .. }) = (&request, &answer) {
-            let writes = |key: &String| txn.changes.iter().any(|c| c.key().starts_with(key.as_str()));
-            let found = self.broken.ends_on.iter().position(|(key, _)| writes(key));
-            if let Some(at) = found {
-                let (_, lasts) = self.broken.ends_on.remove(at);
-                self.crash_node(n);
-                self.after(lasts, Ev::Start(n));
-            }
-        }
-        self.tell_watches();
-        if !lost && self.passes(&End::State, &End::Node(n)) {
-            self.after(hop, Ev::Command(n, life, Command::Store { id, answer }));
+    /// Forgets all but the last changes; a watch of earlier ones is refused.
+    pub fn keep_changes(&mut self, most: usize) {
+        let over = self.log.len().saturating_sub(most);
+        if let Some(last) = over.checked_sub(1) {
+            self.compacted = stamp(&self.log[last]);
+            self.log.drain(..over);
         }
     }
 
-    /// Answers the watches that have news; an outage holds them.
-    pub fn tell_watches(&mut self) {
-        if self.store.out {
-            return;
-        }
-        let ready: Vec<u64> = self
-            .store
-            .watches
-            .iter()
-            .filter(|(_, w)| !self.deaf(w.node))
-            .filter(|(_, w)| {
-                self.store
-                    .log
-                    .iter()
-                    .rev()
-                    .take_while(|e| stamp(e) > w.after)
-                    .any(|e| key(e).starts_with(&w.prefix))
-            })
-            .map(|(id, _)| *id)
-            .collect();
-        for watch in ready {
-            self.end_watch(watch);
-        }
+    /// Whether changes after this revision were forgotten.
+    pub fn is_compacted(&self, after: u64) -> bool {
+        after < self.compacted
     }
 
-    pub fn watch_ends(&mut self, watch: u64) {
-        let Some(w) = self.store.watches.get(&watch) else {
-            return;
-        };
-        if self.store.out || self.deaf(w.node) {
-            // Open watches stay open.
-            self.after(100 * MS, Ev::WatchEnds(watch));
-            return;
-        }
-        if self.now >= w.ends {
-            self.store.expire(self.now);
-            self.end_watch(watch);
-            self.tell_watches();
-        }
+    /// Whether a key with this prefix has changed since a revision.
+    pub fn has_news(&self, prefix: &str, after: u64) -> bool {
+        self.since(after).any(|e| key(e).starts_with(prefix))
     }
 
-    fn end_watch(&mut self, watch: u64) {
-        let Some(w) = self.store.watches.remove(&watch) else {
-            return;
-        };
-        let events: Vec<Event> = self
-            .store
-            .log
-            .iter()
-            .filter(|e| stamp(e) > w.after && key(e).starts_with(&w.prefix))
-            .cloned()
-            .collect();
-        let answer = StoreAnswer::Events(Events {
-            revision: self.store.revision,
+    /// The changes of keys with this prefix since a revision, oldest first.
+    pub fn news(&self, prefix: &str, after: u64) -> Events {
+        let of_prefix = self.since(after).filter(|e| key(e).starts_with(prefix));
+        let mut events: Vec<Event> = of_prefix.cloned().collect();
+        events.reverse();
+        Events {
+            revision: self.revision,
             events,
-        });
-        let hop = self.hop();
-        if self.passes(&End::State, &End::Node(w.node)) {
-            self.after(hop, Ev::Command(w.node, w.life, Command::Store { id: w.id, answer }));
         }
     }
+
+    /// Changes since a revision, the latest first.
+    fn since(&self, after: u64) -> impl Iterator<Item = &Event> {
+        self.log.iter().rev().take_while(move |e| stamp(e) > after)
+    }
 }
 
 fn stamp(e: &Event) -> u64 {
--- /dev/null
+++ b/crates/standins/src/wire.rs
@@ -0,0 +1,164 @@
+//! The state service's, the cloud's and the workers' interfaces as they are on the wire:
+//! HTTP requests are read into typed ones, typed answers become HTTP answers.
+
+use crate::http::{Request, Response};
+use glenhaven::coordination::{CloudAnswer, CloudRequest};
+use glenhaven::protocol::cloud::{Hosts, Rent};
+use glenhaven::protocol::store::{Lease, NewLease, Revision, StoreAnswer, StoreRequest, Txn};
+use glenhaven::protocol::users::ErrorBody;
+use glenhaven::protocol::{from_cbor, to_cbor};
+
+/// An answer with a CBOR body.
+fn with<T: serde::Serialize>(status: u16, body: &T) -> Response {
+    Response::new(status, to_cbor(body))
+}
+
+fn error(status: u16, text: &str) -> Response {
+    with(status, &ErrorBody { error: text.into() })
+}
+
+/// The answer to a request that can't be read.
+pub fn malformed() -> Response {
+    error(400, "malformed")
+}
+
+/// A path and its query.
+struct Target<'a> {
+    path: &'a str,
+    query: &'a str,
+}
+
+impl<'a> Target<'a> {
+    fn of(text: &'a str) -> Target<'a> {
+        let (path, query) = text.split_once('?').unwrap_or((text, ""));
+        Target { path, query }
+    }
+
+    /// A field of the query; empty if it is absent.
+    fn field(&self, name: &str) -> String {
+        let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
+        let mut found = pairs.filter(|(key, _)| *key == name);
+        found.next().map_or(String::new(), |(_, value)| unescape(value))
+    }
+
+    fn number(&self, name: &str) -> Option<u64> {
+        let text = self.field(name);
+        if text.is_empty() {
+            Some(0)
+        } else {
+            text.parse().ok()
+        }
+    }
+}
+
+/// Undoes the escapes of a query.
+fn unescape(text: &str) -> String {
+    let bytes = text.as_bytes();
+    let mut out = Vec::with_capacity(bytes.len());
+    let mut at = 0;
+    while at < bytes.len() {
+        let hex = text.get(at + 1..at + 3).and_then(|h| u8::from_str_radix(h, 16).ok());
+        match (bytes[at], hex) {
+            (b'%', Some(byte)) => {
+                out.push(byte);
+                at += 3;
+            }
+            (byte, _) => {
+                out.push(byte);
+                at += 1;
+            }
+        }
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
+
+/// Reads a request to the state service.
+pub fn state_request(request: &Request) -> Option<StoreRequest> {
+    let target = Target::of(&request.path);
+    match (request.method.as_str(), target.path) {
+        ("GET", "/kv") => Some(StoreRequest::List {
+            prefix: target.field("prefix"),
+            after: target.field("after"),
+        }),
+        ("GET", "/follow") => Some(StoreRequest::Watch {
+            prefix: target.field("prefix"),
+            after: target.number("after")?,
+            wait_ms: target.number("wait_ms")?,
+        }),
+        ("GET", path) => Some(StoreRequest::Get {
+            key: path.strip_prefix("/kv/")?.into(),
+        }),
+        ("POST", "/txn") => from_cbor::<Txn>(&request.body).ok().map(StoreRequest::Txn),
+        ("POST", "/holds") => {
+            let lease: NewLease = from_cbor(&request.body).ok()?;
+            Some(StoreRequest::Grant { ttl_ms: lease.ttl_ms })
+        }
+        ("POST", path) => {
+            let lease = path.strip_prefix("/holds/")?.strip_suffix("/touch")?;
+            Some(StoreRequest::Renew {
+                lease: lease.parse().ok()?,
+            })
+        }
+        ("DELETE", path) => Some(StoreRequest::Drop {
+            lease: path.strip_prefix("/holds/")?.parse().ok()?,
+        }),
+        _ => None,
+    }
+}
+
+/// An answer of the state service to a request; `None`: it gives none.
+pub fn state_response(request: &StoreRequest, answer: &StoreAnswer) -> Option<Response> {
+    let revision = |revision: u64, failed: &[String]| Revision {
+        revision,
+        failed: failed.to_vec(),
+    };
+    Some(match answer {
+        StoreAnswer::Row(row) => with(200, row),
+        StoreAnswer::Missing { revision: r } => with(404, &revision(*r, &[])),
+        StoreAnswer::Rows(rows) => with(200, rows),
+        StoreAnswer::Committed { revision: r } => with(200, &revision(*r, &[])),
+        StoreAnswer::Conflict { failed, revision: r } => with(409, &revision(*r, failed)),
+        StoreAnswer::Lease(lease) => with(200, &Lease { lease: *lease }),
+        StoreAnswer::Events(events) => with(200, events),
+        StoreAnswer::Compacted => error(410, "compacted"),
+        StoreAnswer::NoLease if matches!(request, StoreRequest::Txn(_)) => error(400, "no such lease"),
+        StoreAnswer::NoLease => error(404, "no such lease"),
+        StoreAnswer::Limited => error(429, "too many"),
+        StoreAnswer::Refused => error(503, "trouble"),
+        StoreAnswer::Malformed => malformed(),
+        StoreAnswer::Unknown => return None,
+    })
+}
+
+/// Reads a request to the cloud.
+pub fn cloud_request(request: &Request) -> Option<CloudRequest> {
+    let target = Target::of(&request.path);
+    match (request.method.as_str(), target.path) {
+        ("GET", "/catalog") => Some(CloudRequest::Catalogue),
+        ("GET", "/machines") => Some(CloudRequest::List {
+            after: target.field("after"),
+        }),
+        ("POST", "/machines") => from_cbor::<Rent>(&request.body).ok().map(CloudRequest::Rent),
+        ("POST", "/machines/release") => from_cbor::<Hosts>(&request.body).ok().map(CloudRequest::Release),
+        _ => None,
+    }
+}
+
+/// An answer of the cloud; `None`: it gives none.
+pub fn cloud_response(answer: &CloudAnswer) -> Option<Response> {
+    Some(match answer {
+        CloudAnswer::Catalogue(catalogue) => with(200, catalogue),
+        CloudAnswer::Rented(machines) => with(
+            200,
+            &Hosts {
+                machines: machines.clone(),
+            },
+        ),
+        CloudAnswer::Released => Response::new(200, to_cbor(&ciborium::Value::Map(vec![]))),
+        CloudAnswer::List(page) => with(200, page),
+        CloudAnswer::NoCapacity => error(503, "no capacity"),
+        CloudAnswer::Refused => error(503, "trouble"),
+        CloudAnswer::Malformed => malformed(),
+        CloudAnswer::Unknown => return None,
+    })
+}
--- /dev/null
+++ b/crates/standins/src/worker.rs
@@ -0,0 +1,395 @@
+//! A stand-in for workers.
+
+use crate::user::{job_of, User};
+use crate::{MS, SEC};
+use glenhaven::protocol::cloud::MachineType;
+use glenhaven::protocol::users::Shape;
+use glenhaven::protocol::workers::{Cause, Direct, Order, Orders, Report, TaskPhase, TaskReport};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What tasks did by themselves.
+#[derive(Default)]
+pub struct Progress {
+    /// Tasks that have begun.
+    pub started: Vec<String>,
+    /// Tasks that have failed.
+    pub failures: usize,
+}
+
+/// A task on a machine.
+pub struct Task {
+    /// Its state, as reported.
+    pub phase: TaskPhase,
+    /// Why it exited.
+    pub cause: Option<Cause>,
+    /// When it leaves this state by itself.
+    pub until: u64,
+}
+
+/// A machine with its worker.
+pub struct Worker {
+    /// The machine's name.
+    pub name: String,
+    /// Where it takes direct commands.
+    pub addr: String,
+    /// Its machine type.
+    pub machine_type: String,
+    /// Its zone.
+    pub zone: String,
+    /// Whether the cloud may take it back.
+    pub spot: bool,
+    cpus: f64,
+    memory: f64,
+    fetch: f64,
+    /// Whether it is up.
+    pub up: bool,
+    /// Whether it is gone.
+    pub dead: bool,
+    /// Whether every task fails on it.
+    pub faulty: bool,
+    slowness: u64,
+    /// Until when it stands still.
+    pub hangs_until: u64,
+    /// When the cloud takes it away.
+    pub taken: Option<u64>,
+    session: u64,
+    serial: u64,
+    fence: u64,
+    /// Its tasks by name and attempt.
+    pub tasks: BTreeMap<(String, u64), Task>,
+    images: BTreeSet<String>,
+    /// When the last answered report was sent, or the session began.
+    answered: u64,
+    /// The controller that it reports to.
+    pub node: usize,
+    /// The report that waits for its answer: its number, when it was sent, its session.
+    pub flying: Option<(u64, u64, u64)>,
+    next_report: u64,
+    last_sent: u64,
+    fence_told: u64,
+}
+
+impl Worker {
+    /// A machine that is not up yet.
+    pub fn new(name: &str, addr: &str, t: &MachineType, zone: &str, spot: bool) -> Worker {
+        Worker {
+            name: name.into(),
+            addr: addr.into(),
+            machine_type: t.name.clone(),
+            zone: zone.into(),
+            spot,
+            cpus: t.cpus,
+            memory: t.memory,
+            fetch: t.fetch_gb_per_s,
+            up: false,
+            dead: false,
+            faulty: false,
+            slowness: 1,
+            hangs_until: 0,
+            taken: None,
+            session: 1,
+            serial: 0,
+            fence: 0,
+            tasks: BTreeMap::new(),
+            images: BTreeSet::new(),
+            answered: 0,
+            node: 0,
+            flying: None,
+            next_report: 0,
+            last_sent: 0,
+            fence_told: 0,
+        }
+    }
+
+    /// The next report.
+    pub fn report(&mut self, now: u64) -> Report {
+        self.serial += 1;
+        Report {
+            machine: self.name.clone(),
+            addr: self.addr.clone(),
+            machine_type: self.machine_type.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            serial: self.serial,
+            fence: self.fence,
+            notice_s: self.taken.map(|t| t.saturating_sub(now) as f64 / SEC as f64),
+            tasks: self
+                .tasks
+                .iter()
+                .map(|((task, attempt), t)| TaskReport {
+                    task: task.clone(),
+                    attempt: *attempt,
+                    phase: t.phase,
+                    cause: t.cause,
+                })
+                .collect(),
+        }
+    }
+
+    /// The present session.
+    pub fn session(&self) -> u64 {
+        self.session
+    }
+
+    /// Something changed that is to be reported soon.
+    pub fn changed(&mut self, now: u64) {
+        self.next_report = self.next_report.min((self.last_sent + SEC / 2).max(now));
+    }
+
+    /// From now on everything takes so many times as long.
+    pub fn slow_down(&mut self, now: u64, factor: u64) {
+        self.slowness = factor;
+        for t in self.tasks.values_mut().filter(|t| t.phase == TaskPhase::Running) {
+            t.until = now.saturating_add(t.until.saturating_sub(now).saturating_mul(factor));
+        }
+    }
+
+    /// Tasks that have their image and have not exited.
+    pub fn on_machine(&self) -> impl Iterator<Item = &str> {
+        self.tasks
+            .iter()
+            .filter(|(_, t)| matches!(t.phase, TaskPhase::Running | TaskPhase::Saving))
+            .map(|((task, _), _)| task.as_str())
+    }
+
+    /// The machine is up, and reports to this controller first.
+    pub fn boots(&mut self, now: u64, node: usize) {
+        self.up = true;
+        self.answered = now;
+        self.node = node;
+        self.next_report = now;
+    }
+
+    /// The machine and everything on it is gone.
+    pub fn dies(&mut self) {
+        self.up = false;
+        self.dead = true;
+        self.tasks.clear();
+    }
+
+    /// Kills and forgets all tasks if the lease is over; how many these were.
+    pub fn expire_lease(&mut self, now: u64, lease: u64) -> usize {
+        if now <= self.answered + lease {
+            return 0;
+        }
+        let killed = self.tasks.len();
+        self.tasks.clear();
+        self.session += 1;
+        self.answered = now;
+        self.flying = None;
+        self.changed(now);
+        killed
+    }
+
+    /// Does what tasks do by themselves.
+    pub fn run_tasks(&mut self, now: u64, users: &BTreeMap<String, User>, results: &mut BTreeSet<String>) -> Progress {
+        let mut progress = Progress::default();
+        let mut changed = false;
+        for ((task, _), t) in &mut self.tasks {
+            if now < t.until {
+                continue;
+            }
+            let user = users.get(job_of(task));
+            match t.phase {
+                TaskPhase::Fetching => {
+                    changed = true;
+                    if let Some(u) = user {
+                        self.images.insert(u.spec.image.clone());
+                    }
+                    if results.contains(task) {
+                        t.phase = TaskPhase::Exited;
+                        t.cause = Some(Cause::Done);
+                        continue;
+                    }
+                    t.phase = TaskPhase::Running;
+                    progress.started.push(task.clone());
+                    t.until = match user {
+                        Some(u) if u.spec.shape == Shape::Array => now + u.run * self.slowness,
+                        _ => u64::MAX,
+                    };
+                    if self.faulty || user.is_some_and(|u| u.mistake) {
+                        t.until = now + SEC;
+                    }
+                }
+                TaskPhase::Running => {
+                    changed = true;
+                    t.phase = TaskPhase::Exited;
+                    let fails = self.faulty || user.is_some_and(|u| u.mistake);
+                    progress.failures += usize::from(fails);
+                    t.cause = Some(if fails { Cause::Error } else { Cause::Done });
+                    if !fails {
+                        results.insert(task.clone());
+                    }
+                }
+                TaskPhase::Saving => {
+                    changed = true;
+                    t.phase = TaskPhase::Exited;
+                    t.cause = Some(Cause::Stopped);
+                }
+                _ => {}
+            }
+        }
+        if changed {
+            self.changed(now);
+        }
+        progress
+    }
+
+    /// The report that is due, with its number; the caller says when the next one is.
+    pub fn due_report(&mut self, now: u64) -> Option<(u64, Report)> {
+        if now < self.next_report || self.flying.is_some() {
+            return None;
+        }
+        let rid = self.serial + 1;
+        self.flying = Some((rid, now, self.session));
+        self.last_sent = now;
+        self.fence_told = self.fence;
+        Some((rid, self.report(now)))
+    }
+
+    /// The next report is due at this time, unless something changes before.
+    pub fn report_next(&mut self, at: u64) {
+        self.next_report = at;
+    }
+
+    /// When the worker does something by itself next.
+    pub fn wakes_at(&self, now: u64, lease: u64) -> u64 {
+        self.tasks
+            .values()
+            .filter(|t| t.phase != TaskPhase::Exited)
+            .map(|t| t.until)
+            .chain([self.answered + lease + 1])
+            .chain(self.flying.is_none().then_some(self.next_report))
+            .min()
+            .unwrap_or(now + SEC)
+            .max(now + MS)
+    }
+
+    /// Whether the answer with this token, to a report of this session, counts.
+    pub fn accepts(&self, fence: u64, session: u64) -> bool {
+        fence >= self.fence && session == self.session
+    }
+
+    /// The orders in the answer to a report that was sent at this time; running tasks
+    /// that were stopped by them.
+    pub fn take_orders(&mut self, now: u64, sent: u64, orders: &Orders, users: &BTreeMap<String, User>) -> usize {
+        self.answered = self.answered.max(sent);
+        self.fence = orders.fence;
+        let stops = self.execute(now, &orders.orders, users);
+        if self.fence > self.fence_told {
+            self.changed(now);
+        }
+        stops
+    }
+
+    /// Orders sent straight to the machine: whether they were executed, and the running
+    /// tasks that were stopped by them.
+    pub fn take_direct(&mut self, now: u64, body: &Direct, users: &BTreeMap<String, User>) -> (bool, usize) {
+        if !self.accepts(body.fence, body.session) {
+            return (false, 0);
+        }
+        self.fence = body.fence;
+        (true, self.execute(now, &body.orders, users))
+    }
+
+    /// It was told to report to another controller, if it was told to which.
+    pub fn redirected(&mut self, now: u64, to: Option<usize>, nodes: usize) {
+        match to {
+            Some(n) if n != self.node => {
+                self.node = n;
+                self.next_report = now + MS;
+            }
+            _ => self.tries_next(now, nodes),
+        }
+    }
+
+    /// It got no use of the controller that it asked.
+    pub fn tries_next(&mut self, now: u64, nodes: usize) {
+        self.node = (self.node + 1) % nodes;
+        self.next_report = now + SEC;
+    }
+
+    /// Executes orders; counts the running tasks of jobs not cancelled that are stopped.
+    fn execute(&mut self, now: u64, orders: &[Order], users: &BTreeMap<String, User>) -> usize {
+        let mut stops = 0;
+        let before = self.tasks.len();
+        for order in orders {
+            match order {
+                Order::Start { task, attempt } => self.start(now, task, *attempt, users),
+                Order::Stop { task, attempt, grace_s } => {
+                    let key = (task.clone(), *attempt);
+                    stops += usize::from(self.stop(now, &key, *grace_s, users));
+                }
+                Order::Forget { task, attempt } => {
+                    let key = (task.clone(), *attempt);
+                    if self.tasks.get(&key).is_some_and(|t| t.phase == TaskPhase::Exited) {
+                        self.tasks.remove(&key);
+                    }
+                }
+            }
+        }
+        if !orders.is_empty() || before != self.tasks.len() {
+            self.changed(now);
+        }
+        stops
+    }
+
+    fn start(&mut self, now: u64, task: &str, attempt: u64, users: &BTreeMap<String, User>) {
+        let key = (task.to_string(), attempt);
+        if self.tasks.contains_key(&key) {
+            return;
+        }
+        let user = users.get(owner_of(task)).filter(|u| u.submitted);
+        let live = |t: &Task| t.phase != TaskPhase::Exited;
+        let busy = self.tasks.iter().any(|((t, _), x)| t == task && live(x));
+        let (mut cpus, mut memory) = (self.cpus, self.memory);
+        for ((t, _), x) in &self.tasks {
+            if let Some(u) = users.get(owner_of(t)) {
+                if live(x) {
+                    cpus -= u.spec.cpus;
+                    memory -= u.spec.memory;
+                }
+            }
+        }
+        let refuse = match user {
+            None => Some(Cause::Unknown),
+            Some(_) if busy => Some(Cause::Busy),
+            Some(u) if u.spec.cpus > cpus + 1e-9 || u.spec.memory > memory + 1e-9 => Some(Cause::NoRoom),
+            Some(_) => None,
+        };
+        let until = match user {
+            Some(u) if !self.images.contains(&u.spec.image) => now + (u.spec.image_gb / self.fetch * SEC as f64) as u64,
+            _ => now + 5 * MS,
+        };
+        let phase = if refuse.is_some() {
+            TaskPhase::Exited
+        } else {
+            TaskPhase::Fetching
+        };
+        let cause = refuse;
+        self.tasks.insert(key, Task { phase, cause, until });
+    }
+
+    /// Whether this stopped a task of a job that its user has not asked to cancel.
+    fn stop(&mut self, now: u64, key: &(String, u64), grace_s: f64, users: &BTreeMap<String, User>) -> bool {
+        let Some(t) = self.tasks.get_mut(key).filter(|t| t.phase != TaskPhase::Exited) else {
+            return false;
+        };
+        let user = users.get(owner_of(&key.0));
+        let save = user.map_or(0.0, |u| u.spec.save_s);
+        if t.phase == TaskPhase::Running && save > 0.0 && grace_s >= save {
+            t.phase = TaskPhase::Saving;
+            t.until = now + (save * SEC as f64) as u64;
+        } else if t.phase != TaskPhase::Saving || grace_s == 0.0 {
+            t.phase = TaskPhase::Exited;
+            t.cause = Some(Cause::Stopped);
+        }
+        user.is_some_and(|u| !u.wants_abort)
+    }
+}
+
+/// The job that a task's name says; none for a name that says none.
+fn owner_of(task: &str) -> &str {
+    task.rsplit_once('/').map_or("", |x| x.0)
+}
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -9,10 +9,9 @@
 mod meetings;
 pub mod planted;
 mod renewals;
-pub mod rules;
 pub mod script;
 pub mod shares;
-pub mod store;
+mod state_service;
 pub mod users;
 pub mod workers;
 
@@ -23,11 +22,9 @@
 use glenhaven::settings::Settings;
 use glenhaven::time::Micros;
 use glenhaven::transport::server::Outgoing;
+pub use glenhaven_standins::{rules, store, MS, SEC};
 use std::collections::{BTreeMap, BTreeSet};
 
-pub const MS: u64 = 1000;
-pub const SEC: u64 = 1_000_000;
-
 /// Something that will happen.
 pub enum Ev {
     Tick(usize, u64),
@@ -141,6 +138,7 @@
     pub rng: fastrand::Rng,
     pub nodes: Vec<Node>,
     pub store: store::Store,
+    watches: BTreeMap<u64, state_service::Watch>,
     pub cloud: cloud::Cloud,
     pub workers: BTreeMap<String, workers::Worker>,
     pub users: BTreeMap<String, users::User>,
@@ -186,10 +184,11 @@
             rng: fastrand::Rng::with_seed(script.seed),
             nodes,
             store,
-            cloud: cloud::Cloud::new(&script),
+            watches: BTreeMap::new(),
+            cloud: script.cloud(),
             workers: BTreeMap::new(),
             users: BTreeMap::new(),
-            rules: rules::Rules::new(&script),
+            rules: rules::Rules::new(&script.base.params.teams, script.base.params.workers.cancel_s),
             broken: Broken {
                 zone_of,
                 ..Broken::default()
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -4,6 +4,8 @@
 use glenhaven::protocol::cloud::MachineType;
 use glenhaven::protocol::users::{Priority, Shape, Spec};
 use glenhaven::settings::{NextState, Peer, Settings, Team};
+use glenhaven_standins::cloud::Cloud;
+pub use glenhaven_standins::user::plain_spec;
 use std::collections::BTreeMap;
 
 #[derive(Clone, Debug)]
@@ -128,34 +130,6 @@
     pub expect: Vec<Expect>,
 }
 
-/// A small job with ordinary settings.
-pub fn plain_spec(id: &str) -> Spec {
-    Spec {
-        id: id.into(),
-        class: "plain".into(),
-        team: "blue".into(),
-        shape: Shape::Array,
-        priority: Priority::Normal,
-        tasks: 1,
-        cpus: 1.0,
-        gpus: 0.0,
-        memory: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: false,
-        image: "img-1".into(),
-        image_gb: 1.0,
-        estimate_s: 10.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-        needs: vec![],
-        apart: None,
-    }
-}
-
 const BASE: &str = r#"
 node = "node-0"
 zone = "a"
@@ -518,6 +492,12 @@
         Ok(spec)
     }
 
+    /// The cloud at the beginning.
+    pub fn cloud(&self) -> Cloud {
+        let lag = (self.base.params.cloud.list_lag_s * SEC as f64) as u64;
+        Cloud::new(self.types.clone(), self.capacity, self.dead_boots, lag)
+    }
+
     /// The settings of every node.
     pub fn settings(&self) -> Vec<Settings> {
         let peer = |n: usize| Peer {
--- /dev/null
+++ b/tests/sim/state_service.rs
@@ -0,0 +1,148 @@
+//! The state service among simulated hosts: lost and late requests, and watches.
+
+use super::links::End;
+use super::{Ev, World, MS, SEC};
+use glenhaven::coordination::Command;
+use glenhaven::protocol::store::{StoreAnswer, StoreRequest};
+
+/// A watch that waits for news.
+pub struct Watch {
+    node: usize,
+    life: u64,
+    id: u64,
+    prefix: String,
+    after: u64,
+    ends: u64,
+}
+
+impl World {
+    fn is_late_write(&mut self, request: &StoreRequest) -> bool {
+        let StoreRequest::Txn(txn) = request else { return false };
+        let writes = |prefix: &String| txn.changes.iter().any(|c| c.key().starts_with(prefix.as_str()));
+        let shares = self.broken.late_writes.values().filter(|(_, prefix)| writes(prefix));
+        let share = shares.map(|(share, _)| *share).fold(0.0, f64::max);
+        share > 0.0 && self.rng.f64() < share
+    }
+
+    fn deaf(&self, n: usize) -> bool {
+        self.broken.state_deaf.values().any(|d| *d == n)
+    }
+
+    pub fn store_request(&mut self, n: usize, life: u64, id: u64, request: StoreRequest) {
+        let now = self.now;
+        self.store.expire(now);
+        let hop = self.hop();
+        let mut lost = false;
+        // What comes late was taken in long ago: it is executed whatever happens meanwhile.
+        let late = life == u64::MAX && matches!(request, StoreRequest::Txn(_));
+        let answer = if late && !self.store.out {
+            self.store.answer(&request, now)
+        } else if self.store.out || self.deaf(n) {
+            StoreAnswer::Refused
+        } else {
+            let writes = match &request {
+                StoreRequest::Txn(txn) => txn.changes.len() as f64,
+                _ => 0.0,
+            };
+            if let Err(refused) = self.store.allow(writes, now) {
+                refused
+            } else if let StoreRequest::Watch { prefix, after, wait_ms } = request {
+                let watch = self.id();
+                self.watches.insert(
+                    watch,
+                    Watch {
+                        node: n,
+                        life,
+                        id,
+                        prefix,
+                        after,
+                        ends: now + wait_ms * MS,
+                    },
+                );
+                self.after(wait_ms * MS, Ev::WatchEnds(watch));
+                self.tell_watches();
+                return;
+            } else if self.is_late_write(&request) {
+                // Its sender hears nothing, and newer ones are executed before it.
+                let late = 2 * SEC + self.rng.u64(0..10 * SEC);
+                self.after(late, Ev::Store(n, u64::MAX, id, request));
+                return;
+            } else if let (StoreRequest::Txn(txn), Some(late)) =
+                (&request, self.broken.lose_txn.values().copied().next())
+            {
+                // Unanswered; executed now, or later when the sender has
+                // long given up.
+                if !txn.changes.is_empty() {
+                    lost = true;
+                    if late > 0 && self.rng.bool() {
+                        let _ = hop;
+                        let request = StoreRequest::Txn(txn.clone());
+                        // A life that never was: the answer reaches nobody.
+                        self.after(late, Ev::Store(n, u64::MAX, id, request));
+                        return;
+                    }
+                }
+                self.store.answer(&request, now)
+            } else {
+                self.store.answer(&request, now)
+            }
+        };
+        if let (StoreRequest::Txn(txn), StoreAnswer::Committed { .. }) = (&request, &answer) {
+            let writes = |key: &String| txn.changes.iter().any(|c| c.key().starts_with(key.as_str()));
+            let found = self.broken.ends_on.iter().position(|(key, _)| writes(key));
+            if let Some(at) = found {
+                let (_, lasts) = self.broken.ends_on.remove(at);
+                self.crash_node(n);
+                self.after(lasts, Ev::Start(n));
+            }
+        }
+        self.tell_watches();
+        if !lost && self.passes(&End::State, &End::Node(n)) {
+            self.after(hop, Ev::Command(n, life, Command::Store { id, answer }));
+        }
+    }
+
+    /// Answers the watches that have news; an outage holds them.
+    pub fn tell_watches(&mut self) {
+        if self.store.out {
+            return;
+        }
+        let ready: Vec<u64> = self
+            .watches
+            .iter()
+            .filter(|(_, w)| !self.deaf(w.node))
+            .filter(|(_, w)| self.store.has_news(&w.prefix, w.after))
+            .map(|(id, _)| *id)
+            .collect();
+        for watch in ready {
+            self.end_watch(watch);
+        }
+    }
+
+    pub fn watch_ends(&mut self, watch: u64) {
+        let Some(w) = self.watches.get(&watch) else {
+            return;
+        };
+        if self.store.out || self.deaf(w.node) {
+            // Open watches stay open.
+            self.after(100 * MS, Ev::WatchEnds(watch));
+            return;
+        }
+        if self.now >= w.ends {
+            self.store.expire(self.now);
+            self.end_watch(watch);
+            self.tell_watches();
+        }
+    }
+
+    fn end_watch(&mut self, watch: u64) {
+        let Some(w) = self.watches.remove(&watch) else {
+            return;
+        };
+        let answer = StoreAnswer::Events(self.store.news(&w.prefix, w.after));
+        let hop = self.hop();
+        if self.passes(&End::State, &End::Node(w.node)) {
+            self.after(hop, Ev::Command(w.node, w.life, Command::Store { id: w.id, answer }));
+        }
+    }
+}
--- a/tests/sim/users.rs
+++ b/tests/sim/users.rs
@@ -1,82 +1,11 @@
-//! A stand-in for users and the load balancer.
+//! Users and the load balancer among simulated hosts.
 
 use super::{Ev, Origin, World, SEC};
 use glenhaven::coordination::{Command, UserRequest};
-use glenhaven::protocol::users::{JobState, Phase, Spec};
-use glenhaven::protocol::{from_cbor, to_cbor};
+use glenhaven::protocol::to_cbor;
 use glenhaven::transport::server::Outgoing;
-
-#[derive(Clone, Copy, PartialEq, Debug)]
-enum Asked {
-    Submit,
-    Poll,
-    Abort,
-}
-
-pub struct User {
-    pub spec: Spec,
-    pub run: u64,
-    /// It fails on every machine.
-    pub mistake: bool,
-    /// The job's description is uploaded with its first submission.
-    pub submitted: bool,
-    pub wants_abort: bool,
-    pub resubmit: bool,
-    stranger: bool,
-    pub first_asked: Option<u64>,
-    pub accepted: Option<u64>,
-    pub refused: Option<u16>,
-    /// When the answer left that first told its user that it is cancelled, and arrived.
-    pub cancelled: Option<u64>,
-    pub done: Option<u64>,
-    pub first_running: Option<u64>,
-    asked: Option<(u64, Asked)>,
-    /// The controller that was asked.
-    node: Option<usize>,
-    failed_since: Option<u64>,
-    /// How long questions about it went unanswered once all troubles were over, at most.
-    pub silent: u64,
-}
-
-impl User {
-    pub fn new(spec: Spec, run_s: f64, mistake: bool) -> User {
-        User {
-            mistake,
-            spec,
-            run: (run_s * SEC as f64) as u64,
-            submitted: false,
-
-            wants_abort: false,
-            resubmit: false,
-            stranger: false,
-            first_asked: None,
-            accepted: None,
-            refused: None,
-            cancelled: None,
-            done: None,
-            first_running: None,
-            asked: None,
-            node: None,
-            failed_since: None,
-            silent: 0,
-        }
-    }
-
-    /// The request that this controller has yet to answer.
-    pub fn asked_of(&self, n: usize) -> Option<u64> {
-        self.asked.filter(|_| self.node == Some(n)).map(|a| a.0)
-    }
-
-    /// Someone who asks about a job that no one submitted.
-    pub fn stranger(job: &str) -> User {
-        let mut spec = super::script::plain_spec(job);
-        spec.image = "none".into();
-        User {
-            stranger: true,
-            ..User::new(spec, 1.0, false)
-        }
-    }
-}
+pub use glenhaven_standins::user::User;
+use glenhaven_standins::user::{answered, Answered, Asked};
 
 impl World {
     /// Sends a user's next request, unless one is under way.
@@ -97,23 +26,15 @@
             return self.after(SEC / 50, Ev::User(job.into()));
         }
         let Some(user) = self.users.get_mut(job) else { return };
-        if user.asked.is_some() || user.refused.is_some() {
+        let Some(asked) = user.asks(self.now, rid, pick) else {
             return;
-        }
-        let (asked, request, limit) = if user.resubmit {
-            user.resubmit = false;
-            (Asked::Submit, UserRequest::Submit(to_cbor(&user.spec)), 5 * SEC)
-        } else if user.accepted.is_none() && !user.stranger {
-            user.submitted = true;
-            user.first_asked.get_or_insert(self.now);
-            (Asked::Submit, UserRequest::Submit(to_cbor(&user.spec)), 5 * SEC)
-        } else if user.wants_abort && user.cancelled.is_none() && user.done.is_none() {
-            (Asked::Abort, UserRequest::Abort(job.into()), 5 * SEC)
-        } else {
-            (Asked::Poll, UserRequest::Poll(job.into()), 2 * SEC)
         };
-        user.asked = Some((rid, asked));
-        user.node = pick;
+        let request = match asked {
+            Asked::Submit => UserRequest::Submit(to_cbor(&user.spec)),
+            Asked::Abort => UserRequest::Abort(job.into()),
+            Asked::Poll => UserRequest::Poll(job.into()),
+        };
+        let limit = asked.limit();
         self.after(limit, Ev::UserLate(job.into(), rid));
         if let Some(n) = pick {
             let id = self.id();
@@ -130,73 +51,30 @@
         let Some(user) = self.users.get_mut(job) else { return };
         if user.asked.is_some_and(|a| a.0 == rid) {
             user.asked = None;
-            let since = *user.failed_since.get_or_insert(now);
-            user.silent = user.silent.max(now.saturating_sub(since.max(calm)));
+            user.unanswered(now, calm);
             self.after(SEC, Ev::User(job.into()));
         }
     }
 
     pub fn user_answered(&mut self, job: &str, rid: u64, left: u64, answer: Outgoing) {
-        let now = self.now;
-        let calm = self.script.calm_from();
-        let Some(user) = self.users.get_mut(job) else { return };
-        let Some((_, asked)) = user.asked.filter(|a| a.0 == rid) else {
-            return;
+        let waits = self.users.get(job).and_then(|u| u.asked).filter(|a| a.0 == rid);
+        let Some((_, asked)) = waits else { return };
+        let it = Answered {
+            now: self.now,
+            left,
+            calm: self.script.calm_from(),
+            asked,
+            answer: &answer,
         };
-        user.asked = None;
-        let state: Option<JobState> = from_cbor(&answer.body).ok();
-        let status = answer.status;
-        if status == 503 && answer.retry_after_s.is_none() {
-            self.rules.broken.push(format!("{job}: refused without Retry-After"));
-        }
+        answered(&mut self.users, &self.results, &mut self.rules, job, &it);
+        let user = &self.users[job];
         if user.stranger {
-            if status == 200 {
-                self.rules.broken.push(format!("invented: {job} answered 200"));
-            }
             return;
         }
-        let known = user.accepted.is_some();
-        match (status, state) {
-            (200 | 201, Some(state)) => {
-                user.failed_since = None;
-                user.accepted.get_or_insert(now);
-                let user = &self.users[job];
-                self.rules.told(now, job, state.phase, &self.results, user, &self.users);
-                let Some(user) = self.users.get_mut(job) else { return };
-                match state.phase {
-                    Phase::Done => {
-                        user.done.get_or_insert(now);
-                    }
-                    Phase::Cancelled => {
-                        user.cancelled.get_or_insert(left);
-                    }
-                    Phase::Running => {
-                        user.first_running.get_or_insert(now);
-                    }
-                    Phase::Pending => {}
-                }
-            }
-            (404, _) if known => self
-                .rules
-                .broken
-                .push(format!("forgotten: {job} answered 404 to {asked:?}")),
-            (400 | 422, _) if known => self.rules.broken.push(format!("forgotten: {job} answered {status}")),
-            (400 | 422, _) => user.refused = Some(status),
-            _ => {
-                let since = *user.failed_since.get_or_insert(now);
-                user.silent = user.silent.max(now.saturating_sub(since.max(calm)));
-                if known && now - since > 90 * SEC {
-                    self.rules
-                        .broken
-                        .push(format!("forgotten: {job} not answered for 90 s"));
-                }
-            }
-        }
-        let user = &self.users[job];
         let pause = match asked {
-            _ if status == 503 => SEC,
-            Asked::Submit | Asked::Abort => SEC / 10,
-            Asked::Poll => 5 * SEC / self.broken.storm.values().copied().max().unwrap_or(1),
+            _ if answer.status == 503 => SEC,
+            Asked::Poll => asked.pause() / self.broken.storm.values().copied().max().unwrap_or(1),
+            _ => asked.pause(),
         };
         if user.refused.is_none() {
             self.after(pause, Ev::User(job.into()));
--- a/tests/sim/workers.rs
+++ b/tests/sim/workers.rs
@@ -1,128 +1,10 @@
-//! A stand-in for workers.
+//! Workers among simulated hosts.
 
-use super::{Ev, World, MS, SEC};
+use super::{Ev, World, SEC};
 use glenhaven::coordination::{Command, DirectAnswer};
-use glenhaven::protocol::cloud::MachineType;
-use glenhaven::protocol::users::Shape;
-use glenhaven::protocol::workers::{Cause, Direct, Order, Report, TaskPhase, TaskReport};
+use glenhaven::protocol::workers::Direct;
 use glenhaven::transport::server::Outgoing;
-use std::collections::{BTreeMap, BTreeSet};
-
-pub struct Task {
-    pub phase: TaskPhase,
-    pub cause: Option<Cause>,
-    pub until: u64,
-}
-
-pub struct Worker {
-    pub name: String,
-    pub addr: String,
-    pub machine_type: String,
-    pub zone: String,
-    pub spot: bool,
-    cpus: f64,
-    memory: f64,
-    fetch: f64,
-    pub up: bool,
-    pub dead: bool,
-    pub faulty: bool,
-    slowness: u64,
-    pub hangs_until: u64,
-    pub taken: Option<u64>,
-    session: u64,
-    serial: u64,
-    fence: u64,
-    pub tasks: BTreeMap<(String, u64), Task>,
-    images: BTreeSet<String>,
-    /// When the last answered report was sent, or the session began.
-    answered: u64,
-    pub node: usize,
-    pub flying: Option<(u64, u64, u64)>,
-    next_report: u64,
-    last_sent: u64,
-    fence_told: u64,
-}
-
-impl Worker {
-    pub fn new(name: &str, addr: &str, t: &MachineType, zone: &str, spot: bool) -> Worker {
-        Worker {
-            name: name.into(),
-            addr: addr.into(),
-            machine_type: t.name.clone(),
-            zone: zone.into(),
-            spot,
-            cpus: t.cpus,
-            memory: t.memory,
-            fetch: t.fetch_gb_per_s,
-            up: false,
-            dead: false,
-            faulty: false,
-            slowness: 1,
-            hangs_until: 0,
-            taken: None,
-            session: 1,
-            serial: 0,
-            fence: 0,
-            tasks: BTreeMap::new(),
-            images: BTreeSet::new(),
-            answered: 0,
-            node: 0,
-            flying: None,
-            next_report: 0,
-            last_sent: 0,
-            fence_told: 0,
-        }
-    }
-
-    fn report(&mut self, now: u64) -> Report {
-        self.serial += 1;
-        Report {
-            machine: self.name.clone(),
-            addr: self.addr.clone(),
-            machine_type: self.machine_type.clone(),
-            zone: self.zone.clone(),
-            spot: self.spot,
-            session: self.session,
-            serial: self.serial,
-            fence: self.fence,
-            notice_s: self.taken.map(|t| t.saturating_sub(now) as f64 / SEC as f64),
-            tasks: self
-                .tasks
-                .iter()
-                .map(|((task, attempt), t)| TaskReport {
-                    task: task.clone(),
-                    attempt: *attempt,
-                    phase: t.phase,
-                    cause: t.cause,
-                })
-                .collect(),
-        }
-    }
-
-    pub fn session(&self) -> u64 {
-        self.session
-    }
-
-    fn changed(&mut self, now: u64) {
-        self.next_report = self.next_report.min((self.last_sent + SEC / 2).max(now));
-    }
-
-    /// From now on everything takes so many times as long.
-    pub fn slow_down(&mut self, now: u64, factor: u64) {
-        self.slowness = factor;
-        for t in self.tasks.values_mut().filter(|t| t.phase == TaskPhase::Running) {
-            t.until = now.saturating_add(t.until.saturating_sub(now).saturating_mul(factor));
-        }
-    }
-
-    /// Tasks that have their image and have not exited.
-    pub fn on_machine(&self) -> impl Iterator<Item = &str> {
-        self.tasks
-            .iter()
-            .filter(|(_, t)| matches!(t.phase, TaskPhase::Running | TaskPhase::Saving))
-            .map(|((task, _), _)| task.as_str())
-    }
-}
+pub use glenhaven_standins::worker::Worker;
 
 impl World {
     pub fn boot(&mut self, name: &str) {
@@ -131,10 +13,7 @@
         let node = self.rng.usize(0..nodes);
         if let Some(w) = self.workers.get_mut(name) {
             if !w.dead {
-                w.up = true;
-                w.answered = now;
-                w.node = node;
-                w.next_report = now;
+                w.boots(now, node);
                 self.after(1, Ev::Worker(name.into()));
             }
         }
@@ -163,79 +42,15 @@
         if w.taken.is_some_and(|t| now >= t) {
             return self.machine_dies(name);
         }
-        if now > w.answered + lease {
-            self.rules.lease_kills += w.tasks.len();
-            w.tasks.clear();
-            w.session += 1;
-            w.answered = now;
-            w.flying = None;
-            w.changed(now);
-        }
-        let mut started = vec![];
-        let mut changed = false;
-        for ((task, _), t) in &mut w.tasks {
-            if now < t.until {
-                continue;
-            }
-            let (job, _) = task.rsplit_once('/').unwrap_or((task, "0"));
-            match t.phase {
-                TaskPhase::Fetching => {
-                    changed = true;
-                    let user = self.users.get(job);
-                    if let Some(u) = user {
-                        w.images.insert(u.spec.image.clone());
-                    }
-                    if self.results.contains(task) {
-                        t.phase = TaskPhase::Exited;
-                        t.cause = Some(Cause::Done);
-                        continue;
-                    }
-                    t.phase = TaskPhase::Running;
-                    started.push(task.clone());
-                    t.until = match user {
-                        Some(u) if u.spec.shape == Shape::Array => now + u.run * w.slowness,
-                        _ => u64::MAX,
-                    };
-                    if w.faulty || user.is_some_and(|u| u.mistake) {
-                        t.until = now + SEC;
-                    }
-                }
-                TaskPhase::Running => {
-                    changed = true;
-                    t.phase = TaskPhase::Exited;
-                    let fails = w.faulty || self.users.get(job).is_some_and(|u| u.mistake);
-                    self.rules.failures += usize::from(fails);
-                    t.cause = Some(if fails { Cause::Error } else { Cause::Done });
-                    if !fails {
-                        self.results.insert(task.clone());
-                    }
-                }
-                TaskPhase::Saving => {
-                    changed = true;
-                    t.phase = TaskPhase::Exited;
-                    t.cause = Some(Cause::Stopped);
-                }
-                _ => {}
-            }
-        }
-        if changed {
-            w.changed(now);
-        }
-        let mut send = None;
-        if now >= w.next_report && w.flying.is_none() {
-            let node = w.node;
-            let rid = w.serial + 1;
-            w.flying = Some((rid, now, w.session));
-            w.last_sent = now;
-            w.fence_told = w.fence;
-            let report = w.report(now);
-            send = Some((node, rid, report));
-        }
+        self.rules.lease_kills += w.expire_lease(now, lease);
+        let progress = w.run_tasks(now, &self.users, &mut self.results);
+        self.rules.failures += progress.failures;
+        let (node, due) = (w.node, w.due_report(now));
         let report_s = self.script.base.params.workers.report_s;
-        if let Some((node, rid, report)) = send {
+        if let Some((rid, report)) = due {
             let pause = (report_s * (0.75 + 0.5 * self.rng.f64()) * SEC as f64) as u64;
             if let Some(w) = self.workers.get_mut(name) {
-                w.next_report = now + pause;
+                w.report_next(now + pause);
             }
             let hop = self.hop();
             let share = self.broken.late_reports.values().copied().fold(0.0, f64::max);
@@ -252,21 +67,12 @@
             self.after(hop, Ev::Report(name.into(), node, rid, report));
             self.after(4 * SEC, Ev::ReportLate(name.into(), rid));
         }
-        for task in started {
+        for task in progress.started {
             self.rules.started(now, name, &task, &self.workers, &self.users);
             self.rules.started_in_order(&task, &self.users, &self.results);
         }
         let Some(w) = self.workers.get(name) else { return };
-        let next = w
-            .tasks
-            .values()
-            .filter(|t| t.phase != TaskPhase::Exited)
-            .map(|t| t.until)
-            .chain([w.answered + lease + 1])
-            .chain(w.flying.is_none().then_some(w.next_report))
-            .min()
-            .unwrap_or(now + SEC)
-            .max(now + MS);
+        let next = w.wakes_at(now, lease);
         if next < self.script.until {
             self.after(next - now, Ev::Worker(name.into()));
         }
@@ -289,30 +95,13 @@
         }
         w.flying = None;
         match World::read_answer(&answer) {
-            Ok(orders) if orders.fence >= w.fence && session == w.session => {
-                w.answered = w.answered.max(sent);
-                w.fence = orders.fence;
-                self.execute(name, &orders.orders);
-                if let Some(w) = self.workers.get_mut(name) {
-                    if w.fence > w.fence_told {
-                        w.changed(now);
-                    }
-                }
+            Ok(orders) if w.accepts(orders.fence, session) => {
+                self.rules.stops += w.take_orders(now, sent, &orders, &self.users);
             }
             Ok(_) => {}
             Err(other) => {
                 let other = other.and_then(|o| self.nodes.iter().position(|n| n.settings.node == o));
-                let Some(w) = self.workers.get_mut(name) else { return };
-                match other {
-                    Some(n) if n != w.node => {
-                        w.node = n;
-                        w.next_report = now + MS;
-                    }
-                    _ => {
-                        w.node = (w.node + 1) % nodes;
-                        w.next_report = now + SEC;
-                    }
-                }
+                w.redirected(now, other, nodes);
             }
         }
         self.after(1, Ev::Worker(name.into()));
@@ -324,92 +113,11 @@
         let Some(w) = self.workers.get_mut(name) else { return };
         if w.flying.is_some_and(|f| f.0 == rid) {
             w.flying = None;
-            w.node = (w.node + 1) % nodes;
-            w.next_report = now + SEC;
+            w.tries_next(now, nodes);
             self.after(SEC, Ev::Worker(name.into()));
         }
     }
 
-    fn execute(&mut self, name: &str, orders: &[Order]) {
-        let now = self.now;
-        let Some(w) = self.workers.get_mut(name) else { return };
-        let serial = w.tasks.len();
-        for order in orders {
-            match order {
-                Order::Start { task, attempt } => {
-                    let key = (task.clone(), *attempt);
-                    if w.tasks.contains_key(&key) {
-                        continue;
-                    }
-                    let job = task.rsplit_once('/').map_or("", |x| x.0);
-                    let user = self.users.get(job).filter(|u| u.submitted);
-                    let live = |t: &Task| t.phase != TaskPhase::Exited;
-                    let busy = w.tasks.iter().any(|((t, _), x)| t == task && live(x));
-                    let (mut cpus, mut memory) = (w.cpus, w.memory);
-                    for ((t, _), x) in &w.tasks {
-                        if let Some(u) = self.users.get(t.rsplit_once('/').map_or("", |x| x.0)) {
-                            if live(x) {
-                                cpus -= u.spec.cpus;
-                                memory -= u.spec.memory;
-                            }
-                        }
-                    }
-                    let refuse = match user {
-                        None => Some(Cause::Unknown),
-                        Some(_) if busy => Some(Cause::Busy),
-                        Some(u) if u.spec.cpus > cpus + 1e-9 || u.spec.memory > memory + 1e-9 => Some(Cause::NoRoom),
-                        Some(_) => None,
-                    };
-                    let until = match user {
-                        Some(u) if !w.images.contains(&u.spec.image) => {
-                            now + (u.spec.image_gb / w.fetch * SEC as f64) as u64
-                        }
-                        _ => now + 5 * MS,
-                    };
-                    w.tasks.insert(
-                        key,
-                        Task {
-                            phase: if refuse.is_some() {
-                                TaskPhase::Exited
-                            } else {
-                                TaskPhase::Fetching
-                            },
-                            cause: refuse,
-                            until,
-                        },
-                    );
-                }
-                Order::Stop { task, attempt, grace_s } => {
-                    if let Some(t) = w.tasks.get_mut(&(task.clone(), *attempt)) {
-                        if t.phase != TaskPhase::Exited {
-                            let user = self.users.get(task.rsplit_once('/').map_or("", |x| x.0));
-                            let save = user.map_or(0.0, |u| u.spec.save_s);
-                            if user.is_some_and(|u| !u.wants_abort) {
-                                self.rules.stops += 1;
-                            }
-                            if t.phase == TaskPhase::Running && save > 0.0 && *grace_s >= save {
-                                t.phase = TaskPhase::Saving;
-                                t.until = now + (save * SEC as f64) as u64;
-                            } else if t.phase != TaskPhase::Saving || *grace_s == 0.0 {
-                                t.phase = TaskPhase::Exited;
-                                t.cause = Some(Cause::Stopped);
-                            }
-                        }
-                    }
-                }
-                Order::Forget { task, attempt } => {
-                    let key = (task.clone(), *attempt);
-                    if w.tasks.get(&key).is_some_and(|t| t.phase == TaskPhase::Exited) {
-                        w.tasks.remove(&key);
-                    }
-                }
-            }
-        }
-        if !orders.is_empty() || serial != w.tasks.len() {
-            w.changed(now);
-        }
-    }
-
     pub fn direct_request(&mut self, n: usize, life: u64, id: u64, addr: &str, body: &Direct) {
         let now = self.now;
         let Some(name) = self
@@ -440,12 +148,8 @@
             let pause = w.hangs_until - now + 1;
             return self.after(pause, Ev::Direct(n, life, id, addr.into(), body.clone()));
         }
-        let good = body.fence >= w.fence && body.session == w.session;
-        if good {
-            w.fence = body.fence;
-            self.execute(&name, &body.orders);
-        }
-        let Some(w) = self.workers.get_mut(&name) else { return };
+        let (good, stops) = w.take_direct(now, body, &self.users);
+        self.rules.stops += stops;
         let report = w.report(now);
         let answer = if good {
             DirectAnswer::Done(report)
