glenhaven-lab: real controllers among emulated hosts

Machines, racks, zones and controllers are lost as the experiment says. Processor time, memory, sockets and bytes of each controller are sampled once a second; the report has them as JSON, CSV and SVG, with histograms of submissions, starts and takeovers. A missing program, a port in use and too small a machine are typed errors; controllers end with the program, also after an interrupt.

Not there: bytes between controllers, cuts of the network, changes of configuration.

--- /dev/null
+++ b/crates/lab/src/balancer.rs
@@ -0,0 +1,47 @@
+//! The load balancer's view of the controllers.
+
+use crate::lab::{Lab, Side};
+use crate::machines::{exchange, within};
+use async_io::Timer;
+use glenhaven_standins::http::Request;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How often a controller is probed, and how long its answer is waited for.
+const PROBE: Duration = Duration::from_secs(1);
+/// So many probes in a row decide.
+const IN_A_ROW: i32 = 2;
+
+/// Probes one controller, for ever.
+pub async fn probe(lab: Arc<Lab>, node: usize) {
+    let request = Request {
+        method: "GET".into(),
+        path: "/ready".into(),
+        body: vec![],
+    };
+    let mut connection = None;
+    // Good probes in a row; bad ones, if negative. One that was never healthy needs one.
+    let mut row = IN_A_ROW - 1;
+    loop {
+        let kept = connection.take();
+        let answer = within(PROBE, exchange(&lab, kept, node, Side::Users, &request)).await;
+        let good = answer.as_ref().is_some_and(|(_, response)| response.status == 200);
+        connection = answer.and_then(|(kept, _)| kept);
+        row = match good {
+            true => row.max(0) + 1,
+            false => row.min(0) - 1,
+        };
+        if row.abs() >= IN_A_ROW {
+            lab.nodes[node].healthy.store(good, Ordering::Relaxed);
+        }
+        Timer::after(PROBE).await;
+    }
+}
+
+/// A healthy controller for a new connection.
+pub fn choose(lab: &Lab, rng: &mut fastrand::Rng) -> Option<usize> {
+    let healthy = |n: &usize| lab.nodes[*n].healthy.load(Ordering::Relaxed);
+    let healthy: Vec<usize> = (0..lab.nodes.len()).filter(healthy).collect();
+    rng.choice(&healthy).copied()
+}
--- /dev/null
+++ b/crates/lab/src/controllers.rs
@@ -0,0 +1,267 @@
+//! The controller processes: their settings, their lives and their ends.
+
+use crate::errors::LabError;
+use crate::experiment::Experiment;
+use crate::fleet::teams;
+use crate::lab::{node_name, Addresses};
+use serde::Serialize;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+/// Machines stay although they are idle, so that their number is the experiment's: the
+/// longest time that the operators' file takes.
+const OPERATOR_FILE: &str = "((idle-s . 3600.0))\n";
+/// What each controller is told that it may take.
+const CPU: f64 = 1.0;
+const MEMORY_MB: f64 = 512.0;
+
+#[derive(Serialize)]
+struct SettingsFile {
+    node: String,
+    zone: String,
+    public_addr: String,
+    peer_bind: String,
+    operator_file: PathBuf,
+    peers: Vec<PeerTable>,
+    services: ServicesTable,
+    params: ParamsTable,
+}
+
+#[derive(Serialize)]
+struct PeerTable {
+    node: String,
+    zone: String,
+    addr: String,
+}
+
+#[derive(Serialize)]
+struct ServicesTable {
+    cloud: String,
+    state: String,
+}
+
+#[derive(Serialize)]
+struct ParamsTable {
+    zones: Vec<String>,
+    size: usize,
+    teams: Vec<TeamTable>,
+    workers: WorkersTable,
+    state: StateTable,
+    cloud: CloudTable,
+    resources: ResourcesTable,
+}
+
+#[derive(Serialize)]
+struct TeamTable {
+    name: String,
+    cpus: f64,
+    cpus_max: f64,
+}
+
+#[derive(Serialize)]
+struct WorkersTable {
+    report_s: f64,
+    lease_s: f64,
+    cancel_s: f64,
+}
+
+#[derive(Serialize)]
+struct StateTable {
+    rps: f64,
+    write_rps: f64,
+    value_kb: f64,
+    txn_ops: usize,
+}
+
+#[derive(Serialize)]
+struct CloudTable {
+    rps: f64,
+    list_lag_s: f64,
+}
+
+#[derive(Serialize)]
+struct ResourcesTable {
+    cpu: f64,
+    mem_mb: f64,
+    sockets: u32,
+}
+
+fn settings(experiment: &Experiment, node: usize, operator_file: &Path) -> SettingsFile {
+    let addresses = Addresses::new(experiment.network);
+    let (workers, services) = (&experiment.workers, &experiment.services);
+    let count = experiment.controllers.count;
+    let peer = |other: usize| PeerTable {
+        node: node_name(other),
+        zone: experiment.zone_of(other).into(),
+        addr: addresses.peer(other).to_string(),
+    };
+    let team = |team: glenhaven::settings::Team| TeamTable {
+        name: team.name,
+        cpus: team.cpus,
+        cpus_max: team.cpus_max,
+    };
+    SettingsFile {
+        node: node_name(node),
+        zone: experiment.zone_of(node).into(),
+        public_addr: addresses.public(node).to_string(),
+        peer_bind: addresses.peer(node).to_string(),
+        operator_file: operator_file.to_path_buf(),
+        peers: (0..count).filter(|other| *other != node).map(peer).collect(),
+        services: ServicesTable {
+            cloud: addresses.cloud(node).to_string(),
+            state: addresses.state(node).to_string(),
+        },
+        params: ParamsTable {
+            zones: experiment.controllers.zones.clone(),
+            size: count,
+            teams: teams(experiment).into_iter().map(team).collect(),
+            workers: WorkersTable {
+                report_s: workers.report_s,
+                lease_s: workers.lease_s,
+                cancel_s: workers.cancel_s,
+            },
+            state: StateTable {
+                rps: services.state_rps,
+                write_rps: services.state_write_rps,
+                value_kb: services.value_kb,
+                txn_ops: services.txn_ops,
+            },
+            cloud: CloudTable {
+                rps: services.cloud_rps,
+                list_lag_s: services.list_lag_s,
+            },
+            resources: ResourcesTable {
+                cpu: CPU,
+                mem_mb: MEMORY_MB,
+                sockets: experiment.controllers.sockets,
+            },
+        },
+    }
+}
+
+/// The controller processes of an experiment. They end with this value.
+pub struct Controllers {
+    program: PathBuf,
+    dir: PathBuf,
+    log_level: String,
+    children: Vec<Option<Child>>,
+}
+
+impl Controllers {
+    /// Writes the settings files into a directory; no process runs yet.
+    pub fn prepare(experiment: &Experiment, program: &Path, dir: &Path) -> Result<Controllers, LabError> {
+        let write = |path: &Path, text: &str| {
+            std::fs::write(path, text).map_err(|source| LabError::Unwritable {
+                path: path.to_path_buf(),
+                source,
+            })
+        };
+        std::fs::create_dir_all(dir).map_err(|source| LabError::Unwritable {
+            path: dir.to_path_buf(),
+            source,
+        })?;
+        let dir = dir.canonicalize().map_err(|source| LabError::Unreadable {
+            path: dir.to_path_buf(),
+            source,
+        })?;
+        let operator_file = dir.join("operator.scm");
+        write(&operator_file, OPERATOR_FILE)?;
+        for node in 0..experiment.controllers.count {
+            let path = dir.join(format!("{}.toml", node_name(node)));
+            let text =
+                toml::to_string(&settings(experiment, node, &operator_file)).map_err(|e| LabError::Experiment {
+                    path: path.clone(),
+                    message: e.to_string(),
+                })?;
+            write(&path, &text)?;
+        }
+        Ok(Controllers {
+            program: program.to_path_buf(),
+            dir,
+            log_level: experiment.controllers.log_level.clone(),
+            children: (0..experiment.controllers.count).map(|_| None).collect(),
+        })
+    }
+
+    /// Where settings and logs are.
+    pub fn dir(&self) -> &Path {
+        &self.dir
+    }
+
+    /// Starts a controller, unless it runs.
+    pub fn start(&mut self, node: usize) -> Result<(), LabError> {
+        if self.children[node].is_some() {
+            return Ok(());
+        }
+        let log = self.dir.join(format!("{}.log", node_name(node)));
+        let unwritable = |source| LabError::Unwritable {
+            path: log.clone(),
+            source,
+        };
+        let log_file = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(&log)
+            .map_err(unwritable)?;
+        let child = Command::new(&self.program)
+            .arg("--config")
+            .arg(self.dir.join(format!("{}.toml", node_name(node))))
+            .env("LOG_LEVEL", &self.log_level)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log_file)
+            .spawn()
+            .map_err(|source| LabError::Start {
+                path: self.program.clone(),
+                source,
+            })?;
+        self.children[node] = Some(child);
+        Ok(())
+    }
+
+    /// Kills a controller; whether it ran.
+    pub fn kill(&mut self, node: usize) -> bool {
+        let Some(mut child) = self.children[node].take() else {
+            return false;
+        };
+        child.kill().ok();
+        child.wait().ok();
+        true
+    }
+
+    /// The processes that run: number and process id.
+    pub fn running(&self) -> Vec<(usize, u32)> {
+        let children = self.children.iter().enumerate();
+        children
+            .filter_map(|(node, child)| Some((node, child.as_ref()?.id())))
+            .collect()
+    }
+
+    /// Controllers that have ended by themselves since the last look.
+    pub fn ended(&mut self) -> Vec<usize> {
+        let mut ended = vec![];
+        for (node, slot) in self.children.iter_mut().enumerate() {
+            let over = slot
+                .as_mut()
+                .is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))));
+            if over {
+                *slot = None;
+                ended.push(node);
+            }
+        }
+        ended
+    }
+
+    /// Kills all of them.
+    pub fn kill_all(&mut self) {
+        for node in 0..self.children.len() {
+            self.kill(node);
+        }
+    }
+}
+
+impl Drop for Controllers {
+    fn drop(&mut self) {
+        self.kill_all();
+    }
+}
--- /dev/null
+++ b/crates/lab/src/fleet.rs
@@ -0,0 +1,158 @@
+//! Machines and jobs of an experiment, and the rules that are checked on them.
+
+use crate::experiment::Experiment;
+use async_channel::Sender;
+use glenhaven::protocol::cloud::MachineType;
+use glenhaven::settings::Team;
+use glenhaven_standins::cloud::Cloud;
+use glenhaven_standins::rules::Rules;
+use glenhaven_standins::user::User;
+use glenhaven_standins::worker::Worker;
+use glenhaven_standins::SEC;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The one machine type.
+pub const MACHINE_TYPE: &str = "m";
+/// What a machine costs an hour for each core, ordinary and spot.
+const PRICE: f64 = 0.06;
+const SPOT_PRICE: f64 = 0.02;
+const CACHE_GB: f64 = 100.0;
+const FETCH_GB_PER_S: f64 = 1.0;
+
+/// A machine's tasks in this program: dropped, they end; poked, they look again.
+pub struct Link {
+    pub poke: Sender<()>,
+    /// Closed when the machine is gone.
+    pub _alive: Sender<()>,
+}
+
+/// The first answer that a worker took with a new token.
+#[derive(Clone, Copy, Debug)]
+pub struct FirstOfTerm {
+    pub fence: u64,
+    pub at: u64,
+}
+
+/// Machines, jobs and the rules.
+pub struct Fleet {
+    pub cloud: Cloud,
+    pub workers: BTreeMap<String, Worker>,
+    pub links: BTreeMap<String, Link>,
+    pub users: BTreeMap<String, User>,
+    pub results: BTreeSet<String>,
+    pub rules: Rules,
+    pub rng: fastrand::Rng,
+    /// Zones in which no machine can be rented just now.
+    pub zones_out: BTreeSet<String>,
+    pub terms: Vec<FirstOfTerm>,
+    next_request: u64,
+}
+
+/// The machine type of an experiment.
+pub fn machine_type(experiment: &Experiment) -> MachineType {
+    let workers = &experiment.workers;
+    let zones: BTreeSet<String> = experiment.controllers.zones.iter().cloned().collect();
+    MachineType {
+        name: MACHINE_TYPE.into(),
+        cpus: workers.cpus,
+        gpus: 0.0,
+        memory: workers.memory_gb,
+        cache_gb: CACHE_GB,
+        fetch_gb_per_s: FETCH_GB_PER_S,
+        price: workers.cpus * PRICE,
+        spot_price: workers.cpus * SPOT_PRICE,
+        boot_s: workers.boot_s,
+        zones: zones.into_iter().collect(),
+    }
+}
+
+/// The teams of an experiment.
+pub fn teams(experiment: &Experiment) -> Vec<Team> {
+    let team = |n: usize| Team {
+        name: format!("team-{n:03}"),
+        cpus: experiment.teams.cpus,
+        cpus_max: experiment.teams.cpus_max,
+        ..Team::default()
+    };
+    (0..experiment.teams.count).map(team).collect()
+}
+
+impl Fleet {
+    /// No machine and no job yet.
+    pub fn new(experiment: &Experiment) -> Fleet {
+        let kind = machine_type(experiment);
+        let in_a_zone = experiment.workers.count.div_ceil(kind.zones.len().max(1)) as u32;
+        let lag = (experiment.services.list_lag_s * SEC as f64) as u64;
+        let mut cloud = Cloud::new(vec![kind], in_a_zone, 0, lag);
+        cloud.page = crate::cloud_service::PAGE;
+        Fleet {
+            cloud,
+            workers: BTreeMap::new(),
+            links: BTreeMap::new(),
+            users: BTreeMap::new(),
+            results: BTreeSet::new(),
+            rules: Rules::new(&teams(experiment), experiment.workers.cancel_s),
+            rng: fastrand::Rng::with_seed(experiment.seed),
+            zones_out: BTreeSet::new(),
+            terms: vec![],
+            next_request: 0,
+        }
+    }
+
+    /// A new number of a request.
+    pub fn request_number(&mut self) -> u64 {
+        self.next_request += 1;
+        self.next_request
+    }
+
+    /// The machine and everything on it is gone.
+    pub fn machine_dies(&mut self, now: u64, name: &str) {
+        self.cloud.gone(now, name);
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.dies();
+        }
+        self.links.remove(name);
+    }
+
+    /// Machines that are up, of one zone or of all, in any order.
+    pub fn up(&mut self, zone: Option<&str>) -> Vec<String> {
+        let here = |w: &&Worker| w.up && zone.is_none_or(|z| w.zone == z);
+        let mut names: Vec<String> = self.workers.values().filter(here).map(|w| w.name.clone()).collect();
+        self.rng.shuffle(&mut names);
+        names
+    }
+
+    /// A worker took an answer with this token.
+    pub fn saw_fence(&mut self, now: u64, fence: u64) {
+        if self.terms.last().is_none_or(|last| fence > last.fence) {
+            self.terms.push(FirstOfTerm { fence, at: now });
+        }
+    }
+
+    /// What holds at every moment is looked at.
+    pub fn look(&mut self, now: u64) {
+        self.rules.look(now, &self.workers, &self.users);
+    }
+
+    /// Tasks that run, machines that are up, and jobs that are neither done nor cancelled.
+    pub fn counts(&self) -> Counts {
+        let up = || self.workers.values().filter(|w| w.up);
+        let open = |u: &&User| u.accepted.is_some() && u.done.is_none() && u.cancelled.is_none();
+        Counts {
+            machines: up().count(),
+            running: up().map(|w| w.on_machine().count()).sum(),
+            open_jobs: self.users.values().filter(open).count(),
+            starts: self.rules.starts,
+        }
+    }
+}
+
+/// What is there at a moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Counts {
+    pub machines: usize,
+    pub running: usize,
+    pub open_jobs: usize,
+    /// Starts since the beginning.
+    pub starts: u64,
+}
--- /dev/null
+++ b/crates/lab/src/load.rs
@@ -0,0 +1,70 @@
+//! Jobs that come again and again.
+
+use crate::experiment::{seconds, Load};
+use crate::fleet::teams;
+use crate::lab::Lab;
+use crate::users;
+use async_io::Timer;
+use glenhaven::protocol::users::{Priority, Spec};
+use glenhaven_standins::user::{plain_spec, User};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What a task takes of its machine beside cores, and its image.
+const MEMORY_GB: f64 = 1.0;
+const IMAGE_GB: f64 = 0.2;
+/// Jobs come so much earlier or later than their time, as a part of the pause.
+const VARIES: f64 = 0.25;
+/// A user who cancels does it within this time.
+const ABORTS_WITHIN_S: f64 = 10.0;
+
+/// Numbers of jobs.
+#[derive(Default)]
+pub struct Numbers(AtomicU64);
+
+impl Numbers {
+    fn next(&self) -> u64 {
+        self.0.fetch_add(1, Ordering::Relaxed) + 1
+    }
+}
+
+/// Submits the jobs of one kind until their time is over.
+pub async fn submit(lab: Arc<Lab>, load: Load, numbers: Arc<Numbers>) {
+    let until = load.until_s.unwrap_or(lab.experiment.duration_s);
+    let mut at = load.from_s;
+    while at < until {
+        let now = Duration::from_micros(lab.now());
+        Timer::after(seconds(at).saturating_sub(now)).await;
+        let number = numbers.next();
+        let spec = spec(&lab, &load, number);
+        let user = User::new(spec, load.run_s, false);
+        let (abort_after, pause) = {
+            let rng = &mut lab.fleet().rng;
+            let aborts = rng.f64() < load.cancelled;
+            let abort_after = aborts.then(|| seconds(ABORTS_WITHIN_S * rng.f64()));
+            (abort_after, load.every_s * (1.0 - VARIES + 2.0 * VARIES * rng.f64()))
+        };
+        lab.executor.spawn(users::live(lab.clone(), user, abort_after)).detach();
+        at += pause;
+    }
+}
+
+fn spec(lab: &Lab, load: &Load, number: u64) -> Spec {
+    let teams = teams(&lab.experiment);
+    let team = &teams[number as usize % teams.len()];
+    let high = matches!(load.priority, Priority::High | Priority::Production);
+    Spec {
+        class: load.class.clone(),
+        team: team.name.clone(),
+        shape: load.shape,
+        priority: load.priority,
+        tasks: load.tasks,
+        cpus: load.cpus,
+        memory: MEMORY_GB,
+        image: format!("img-{}", load.class),
+        image_gb: if high { 0.0 } else { IMAGE_GB },
+        estimate_s: load.run_s,
+        ..plain_spec(&format!("run-{number:06}"))
+    }
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,81 @@
+//! `glenhaven-lab`: experiments with real controllers among emulated hosts.
+#![forbid(unsafe_code)]
+
+mod balancer;
+mod cloud_service;
+mod controllers;
+mod errors;
+mod experiment;
+mod fleet;
+mod injections;
+mod lab;
+mod load;
+mod machines;
+mod plots;
+mod preflight;
+mod report;
+mod samples;
+mod scale;
+mod server;
+mod state_service;
+mod users;
+
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Experiments with real controllers among emulated workers, users, cloud and state
+/// service, all on loopback. Logs go to standard error.
+#[derive(Parser)]
+#[command(version)]
+struct Args {
+    #[command(subcommand)]
+    command: Subcommands,
+}
+
+#[derive(Subcommand)]
+enum Subcommands {
+    /// Runs one experiment and writes its report. Ends with 0 if every rule held, 1 if one
+    /// was broken or a controller ended by itself, 2 if the experiment could not be run
+    /// and 130 if it was interrupted.
+    Scale {
+        /// What is run (TOML).
+        #[arg(value_name = "EXPERIMENT.toml")]
+        experiment: PathBuf,
+        /// The glenhaven program.
+        #[arg(long, value_name = "PATH")]
+        controllers: PathBuf,
+        /// Where the report is written; target/lab/NAME if not given.
+        #[arg(long, value_name = "DIR")]
+        report: Option<PathBuf>,
+    },
+}
+
+/// The exit status of an experiment in which a rule was broken.
+const RULES_BROKEN: u8 = 1;
+
+fn main() -> ExitCode {
+    tracing_subscriber::fmt()
+        .with_max_level(tracing::Level::INFO)
+        .with_ansi(false)
+        .with_writer(std::io::stderr)
+        .init();
+    let Subcommands::Scale {
+        experiment,
+        controllers,
+        report,
+    } = Args::parse().command;
+    match scale::run(&experiment, &controllers, report) {
+        Ok(report) => {
+            println!("{}", report.summary());
+            match report.holds() {
+                true => ExitCode::SUCCESS,
+                false => ExitCode::from(RULES_BROKEN),
+            }
+        }
+        Err(error) => {
+            eprintln!("glenhaven-lab: {error}");
+            ExitCode::from(error.status())
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/plots.rs
@@ -0,0 +1,149 @@
+//! Plots of a report, as SVG.
+
+use crate::errors::LabError;
+use crate::report::Times;
+use crate::samples::Sample;
+use plotters::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::Path;
+
+const SIZE: (u32, u32) = (900, 500);
+const MARGIN: u32 = 12;
+const LABELS: u32 = 56;
+/// Above the largest value there is so much more room.
+const ROOM: f64 = 1.05;
+/// The best quantile that is drawn: the last one has no place on a logarithmic axis.
+const BEST_QUANTILE: f64 = 0.99999;
+
+/// A line with its name.
+struct Line {
+    name: String,
+    points: Vec<(f64, f64)>,
+}
+
+/// A plot.
+struct Plot<'a> {
+    title: &'a str,
+    x: &'a str,
+    y: &'a str,
+    lines: Vec<Line>,
+}
+
+/// One line for each controller.
+fn by_node(samples: &[Sample], value: fn(&Sample) -> f64) -> Vec<Line> {
+    let nodes: BTreeSet<usize> = samples.iter().map(|s| s.node).collect();
+    let line = |node: usize| Line {
+        name: format!("node-{node}"),
+        points: samples
+            .iter()
+            .filter(|s| s.node == node)
+            .map(|s| (s.at_s, value(s)))
+            .collect(),
+    };
+    nodes.into_iter().map(line).collect()
+}
+
+fn of_all(samples: &[Sample], name: &str, value: fn(&Sample) -> f64) -> Line {
+    let points: BTreeMap<u64, f64> = samples.iter().map(|s| (s.at_s.round() as u64, value(s))).collect();
+    Line {
+        name: name.into(),
+        points: points.into_iter().map(|(at, value)| (at as f64, value)).collect(),
+    }
+}
+
+/// The times at each quantile, by the number of nines.
+fn curves(times: &BTreeMap<&'static str, Times>) -> Vec<Line> {
+    let nines = |quantile: f64| -(1.0 - quantile.min(BEST_QUANTILE)).log10();
+    let line = |(name, times): (&&'static str, &Times)| Line {
+        name: name.to_string(),
+        points: times.curve.iter().map(|(q, ms)| (nines(*q), *ms)).collect(),
+    };
+    times.iter().map(line).collect()
+}
+
+/// Draws all plots into a directory.
+pub fn draw(dir: &Path, samples: &[Sample], times: &BTreeMap<&'static str, Times>) -> Result<(), LabError> {
+    let plot = |title, y, lines| Plot {
+        title,
+        x: "seconds",
+        y,
+        lines,
+    };
+    let received = |s: &Sample| s.workers_in + s.users_in + s.state_in + s.cloud_in;
+    let sent = |s: &Sample| s.workers_out + s.users_out + s.state_out + s.cloud_out;
+    let plots = [
+        ("cpu", plot("Processor time", "cores", by_node(samples, |s| s.cpu))),
+        (
+            "memory",
+            plot("Memory", "MB", by_node(samples, |s| s.memory_kb as f64 / 1024.0)),
+        ),
+        (
+            "sockets",
+            plot("Sockets", "sockets", by_node(samples, |s| s.sockets as f64)),
+        ),
+        (
+            "received",
+            plot("Received", "bytes a second", by_node(samples, received)),
+        ),
+        ("sent", plot("Sent", "bytes a second", by_node(samples, sent))),
+        (
+            "tasks",
+            plot(
+                "Tasks and machines",
+                "number",
+                vec![
+                    of_all(samples, "running", |s| s.running as f64),
+                    of_all(samples, "starts a second", |s| s.starts),
+                    of_all(samples, "machines", |s| s.machines as f64),
+                    of_all(samples, "open jobs", |s| s.open_jobs as f64),
+                ],
+            ),
+        ),
+        (
+            "times",
+            Plot {
+                title: "Times by quantile",
+                x: "nines of the quantile (1: 90%, 2: 99%)",
+                y: "ms",
+                lines: curves(times),
+            },
+        ),
+    ];
+    for (name, plot) in plots {
+        let path = dir.join(format!("{name}.svg"));
+        draw_one(&path, &plot).map_err(|e| LabError::Plot {
+            path: path.clone(),
+            message: e.to_string(),
+        })?;
+    }
+    Ok(())
+}
+
+fn draw_one(path: &Path, plot: &Plot) -> Result<(), Box<dyn std::error::Error>> {
+    let points = || plot.lines.iter().flat_map(|line| &line.points);
+    let largest = |of: fn(&(f64, f64)) -> f64| points().map(of).fold(0.0, f64::max).max(1e-3) * ROOM;
+    let (right, top) = (largest(|p| p.0), largest(|p| p.1));
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(plot.title, ("sans-serif", 20))
+        .margin(MARGIN)
+        .x_label_area_size(LABELS)
+        .y_label_area_size(LABELS)
+        .build_cartesian_2d(0.0..right, 0.0..top)?;
+    chart.configure_mesh().x_desc(plot.x).y_desc(plot.y).draw()?;
+    for (number, line) in plot.lines.iter().enumerate() {
+        let colour = Palette99::pick(number).to_rgba();
+        chart
+            .draw_series(LineSeries::new(line.points.iter().copied(), &colour))?
+            .label(&line.name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .draw()?;
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/scale.rs
@@ -0,0 +1,238 @@
+//! Runs one experiment from its beginning to its report.
+
+use crate::controllers::Controllers;
+use crate::errors::LabError;
+use crate::experiment::{seconds, Experiment};
+use crate::injections::{inject, LostLeaders};
+use crate::lab::{Lab, Side};
+use crate::load::{submit, Numbers};
+use crate::report::{self, Ended, Observed, Report};
+use crate::samples::Sampler;
+use crate::{balancer, cloud_service, machines, preflight, server, state_service, users};
+use async_io::{Async, Timer};
+use futures_lite::FutureExt;
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Threads beside the main one; the controllers need the other cores.
+const THREADS: usize = 1;
+/// A controller has to be ready by then.
+const READY: Duration = Duration::from_secs(30);
+/// How soon an interrupt ends the experiment.
+const STOP: Duration = Duration::from_millis(100);
+const LOOK: Duration = Duration::from_secs(1);
+/// How often it is said how far the experiment is, in looks.
+const PROGRESS: u64 = 5;
+/// Limits of teams and cancelled tasks are looked at so often, and less often by so much
+/// for each worker, since a look takes longer then.
+const RULES: Duration = Duration::from_millis(20);
+const RULES_A_WORKER: Duration = Duration::from_micros(100);
+/// Jobs about which each controller is asked at the end, and how long that may take.
+const AUDITED: usize = 300;
+const AUDIT: Duration = Duration::from_secs(30);
+
+/// Where the report goes if nothing else is said.
+const REPORTS: &str = "target/lab";
+
+/// Listeners of the state service and of the cloud, one for each controller.
+struct Services {
+    state: Vec<Async<TcpListener>>,
+    cloud: Vec<Async<TcpListener>>,
+}
+
+impl Services {
+    fn listen(experiment: &Experiment) -> Result<Services, LabError> {
+        let addresses = crate::lab::Addresses::new(experiment.network);
+        let nodes = 0..experiment.controllers.count;
+        Ok(Services {
+            state: nodes
+                .clone()
+                .map(|n| server::listen(addresses.state(n)))
+                .collect::<Result<_, _>>()?,
+            cloud: nodes
+                .map(|n| server::listen(addresses.cloud(n)))
+                .collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+/// Kills the controllers when the experiment is left, in whatever way.
+struct EndChildren(Arc<Lab>);
+
+impl Drop for EndChildren {
+    fn drop(&mut self) {
+        self.0.processes().kill_all();
+    }
+}
+
+/// Runs an experiment and writes its report.
+pub fn run(file: &Path, program: &Path, dir: Option<PathBuf>) -> Result<Report, LabError> {
+    let experiment = Experiment::load(file)?;
+    preflight::check(&experiment, program)?;
+    let services = Services::listen(&experiment)?;
+    let program = program.canonicalize().map_err(|source| LabError::Unreadable {
+        path: program.to_path_buf(),
+        source,
+    })?;
+    let dir = dir.unwrap_or_else(|| Path::new(REPORTS).join(&experiment.name));
+    let controllers = Controllers::prepare(&experiment, &program, &dir.join("controllers"))?;
+    let lab = Arc::new(Lab::new(experiment, controllers));
+    let _children = EndChildren(lab.clone());
+    stop_on_signals(&lab)?;
+    stop_on_panics(&lab);
+    let (over, ended) = async_channel::bounded::<()>(1);
+    let mut threads = vec![];
+    for _ in 0..THREADS {
+        let (lab, ended) = (lab.clone(), ended.clone());
+        threads.push(std::thread::spawn(move || {
+            async_io::block_on(lab.executor.run(async {
+                ended.recv().await.ok();
+            }));
+        }));
+    }
+    let observed = async_io::block_on(lab.executor.run(play(lab.clone(), services).or(stopped(&lab))));
+    lab.processes().kill_all();
+    drop(over);
+    for thread in threads {
+        thread.join().ok();
+    }
+    let report = report::build(&lab, &observed?);
+    report::write(&report, &dir)?;
+    Ok(report)
+}
+
+fn stop_on_signals(lab: &Arc<Lab>) -> Result<(), LabError> {
+    let lab = lab.clone();
+    let stop = move || lab.stop(LabError::Interrupted);
+    ctrlc::set_handler(stop).map_err(|e| LabError::Machine(e.to_string()))
+}
+
+/// A panic in any thread ends the experiment, after it was said as always.
+fn stop_on_panics(lab: &Arc<Lab>) {
+    let lab = lab.clone();
+    let say = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        say(panic);
+        lab.stop(LabError::Panicked(panic.to_string()));
+    }));
+}
+
+/// Waits until the experiment is to end before its time.
+async fn stopped(lab: &Lab) -> Result<Observed, LabError> {
+    loop {
+        Timer::after(STOP).await;
+        if let Some(why) = lab.take_stop() {
+            return Err(why);
+        }
+    }
+}
+
+/// Plays the experiment to its end.
+async fn play(lab: Arc<Lab>, services: Services) -> Result<Observed, LabError> {
+    serve(&lab, services);
+    for node in 0..lab.nodes.len() {
+        lab.processes().start(node)?;
+        lab.executor.spawn(balancer::probe(lab.clone(), node)).detach();
+    }
+    create_machines(&lab);
+    lab.executor.spawn(look_at_rules(lab.clone())).detach();
+    let numbers = Arc::new(Numbers::default());
+    for load in lab.experiment.load.clone() {
+        lab.executor.spawn(submit(lab.clone(), load, numbers.clone())).detach();
+    }
+    let lost = Arc::new(LostLeaders::default());
+    for injection in lab.experiment.inject.clone() {
+        lab.executor
+            .spawn(inject(lab.clone(), injection, lost.clone()))
+            .detach();
+    }
+    let (sampler, ended) = watch(&lab).await?;
+    let late = async {
+        Timer::after(AUDIT).await;
+        None
+    };
+    let audit = async { Some(users::audit(&lab, AUDITED).await) };
+    Ok(Observed {
+        samples: sampler.samples,
+        ended,
+        audited: audit.or(late).await,
+        lost: lost.all(),
+    })
+}
+
+fn serve(lab: &Arc<Lab>, services: Services) {
+    for (node, listener) in services.state.into_iter().enumerate() {
+        let serve = server::serve(lab.clone(), listener, node, Side::State, state_service::handle);
+        lab.executor.spawn(serve).detach();
+    }
+    for (node, listener) in services.cloud.into_iter().enumerate() {
+        let serve = server::serve(lab.clone(), listener, node, Side::Cloud, cloud_service::handle);
+        lab.executor.spawn(serve).detach();
+    }
+    lab.executor.spawn(state_service::expire_leases(lab.clone())).detach();
+}
+
+/// Creates the machines that are there from the beginning.
+fn create_machines(lab: &Arc<Lab>) {
+    let workers = &lab.experiment.workers;
+    let mut fleet = lab.fleet();
+    for number in 0..workers.count {
+        let boot = seconds(workers.ramp_s * number as f64 / workers.count as f64);
+        let zone = lab.experiment.zone_of(number);
+        machines::create(lab, &mut fleet, zone, false, boot);
+    }
+}
+
+/// Looks at what holds at every moment, for ever.
+async fn look_at_rules(lab: Arc<Lab>) {
+    let pause = RULES + RULES_A_WORKER * lab.experiment.workers.count as u32;
+    loop {
+        Timer::after(pause).await;
+        let now = lab.now();
+        lab.fleet().look(now);
+    }
+}
+
+/// Looks at the controllers once a second until the experiment is over.
+async fn watch(lab: &Lab) -> Result<(Sampler, Vec<Ended>), LabError> {
+    let limit_mb = preflight::memory_limit_mb()?;
+    let (began, ends) = (Instant::now(), Instant::now() + lab.experiment.duration());
+    let (mut sampler, mut ended) = (Sampler::default(), vec![]);
+    let mut looks = 0;
+    let mut was_ready = false;
+    while Instant::now() < ends {
+        Timer::after(LOOK.min(ends.saturating_duration_since(Instant::now()))).await;
+        let counts = sampler.look(lab, limit_mb)?;
+        for node in lab.processes().ended() {
+            tracing::error!(node, "a controller ended by itself");
+            ended.push(Ended {
+                node,
+                at_s: lab.now() as f64 / 1e6,
+            });
+        }
+        was_ready |= lab.nodes.iter().any(|node| node.healthy.load(Ordering::Relaxed));
+        if !was_ready && began.elapsed() > READY {
+            return Err(LabError::NeverReady {
+                seconds: READY.as_secs(),
+                logs: lab.processes().dir().to_path_buf(),
+            });
+        }
+        looks += 1;
+        if looks % PROGRESS == 0 {
+            tracing::info!(
+                at_s = began.elapsed().as_secs(),
+                of_s = lab.experiment.duration().as_secs(),
+                machines = counts.machines,
+                running = counts.running,
+                open_jobs = counts.open_jobs,
+                starts = counts.starts,
+                broken = lab.fleet().rules.broken.len(),
+                "progress"
+            );
+        }
+    }
+    Ok((sampler, ended))
+}
--- /dev/null
+++ b/crates/lab/src/server.rs
@@ -0,0 +1,50 @@
+//! Serves HTTP requests of controllers.
+
+use crate::errors::LabError;
+use crate::lab::{Lab, Side};
+use async_io::Async;
+use glenhaven_standins::http::{Connection, Request, Response};
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+
+/// Listens on an address.
+pub fn listen(addr: SocketAddr) -> Result<Async<TcpListener>, LabError> {
+    Async::<TcpListener>::bind(addr).map_err(|source| match source.kind() {
+        std::io::ErrorKind::AddrInUse => LabError::PortInUse { addr },
+        _ => LabError::Listen { addr, source },
+    })
+}
+
+/// Serves a controller on a listener of its own until the program ends; a handler that
+/// gives no answer closes the connection.
+pub async fn serve<H, F>(lab: Arc<Lab>, listener: Async<TcpListener>, node: usize, side: Side, handler: H)
+where
+    H: Fn(Arc<Lab>, usize, Request) -> F + Clone + Send + 'static,
+    F: Future<Output = Option<Response>> + Send + 'static,
+{
+    while let Ok((stream, _)) = listener.accept().await {
+        let (shared, handler) = (lab.clone(), handler.clone());
+        let connection = Connection::new(stream);
+        lab.executor
+            .spawn(serve_one(shared, connection, node, side, handler))
+            .detach();
+    }
+}
+
+async fn serve_one<H, F>(lab: Arc<Lab>, mut connection: Connection, node: usize, side: Side, handler: H)
+where
+    H: Fn(Arc<Lab>, usize, Request) -> F,
+    F: Future<Output = Option<Response>>,
+{
+    while let Ok(Some(request)) = connection.read_request().await {
+        let Some(response) = handler(lab.clone(), node, request).await else {
+            return;
+        };
+        let written = connection.write_response(&response).await;
+        lab.nodes[node].count(side, connection.take_traffic());
+        if written.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/state_service.rs
@@ -0,0 +1,91 @@
+//! The state service behind sockets.
+
+use crate::lab::Lab;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use glenhaven::protocol::store::{StoreAnswer, StoreRequest};
+use glenhaven_standins::http::{Request, Response};
+use glenhaven_standins::wire;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Rows in one page of a list.
+pub const PAGE: usize = 1000;
+/// Changes that watches can go back to.
+const KEPT_CHANGES: usize = 10_000;
+/// The longest time that a watch waits.
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+/// How often leases are looked at.
+const EXPIRY: Duration = Duration::from_millis(50);
+
+/// Answers one request.
+pub async fn handle(lab: Arc<Lab>, _node: usize, request: Request) -> Option<Response> {
+    let Some(request) = wire::state_request(&request) else {
+        return Some(wire::malformed());
+    };
+    let answer = execute(&lab, &request);
+    let answer = match (&request, answer) {
+        (_, Some(answer)) => answer,
+        (StoreRequest::Watch { prefix, after, wait_ms }, None) => watch(&lab, prefix, *after, *wait_ms).await,
+        (_, None) => return None,
+    };
+    wire::state_response(&request, &answer)
+}
+
+/// Executes a request, unless it is a watch that the limits allow.
+fn execute(lab: &Lab, request: &StoreRequest) -> Option<StoreAnswer> {
+    let writes = match request {
+        StoreRequest::Txn(txn) => txn.changes.len() as f64,
+        _ => 0.0,
+    };
+    let mut store = lab.store();
+    let now = lab.now();
+    store.expire(now);
+    if let Err(refused) = store.allow(writes, now) {
+        return Some(refused);
+    }
+    if matches!(request, StoreRequest::Watch { .. }) {
+        return None;
+    }
+    let before = store.revision;
+    let answer = store.answer(request, now);
+    if store.revision != before {
+        store.keep_changes(KEPT_CHANGES);
+        lab.store_changed.notify(usize::MAX);
+    }
+    Some(answer)
+}
+
+/// Waits until a key has changed or the time is over.
+async fn watch(lab: &Lab, prefix: &str, after: u64, wait_ms: u64) -> StoreAnswer {
+    let ends = Instant::now() + Duration::from_millis(wait_ms).min(LONGEST_WAIT);
+    loop {
+        let changed = lab.store_changed.listen();
+        {
+            let store = lab.store();
+            if store.is_compacted(after) {
+                return StoreAnswer::Compacted;
+            }
+            if store.has_news(prefix, after) || Instant::now() >= ends {
+                return StoreAnswer::Events(store.news(prefix, after));
+            }
+        }
+        let late = async {
+            Timer::at(ends).await;
+        };
+        changed.or(late).await;
+    }
+}
+
+/// Ends leases whose time is over, for ever.
+pub async fn expire_leases(lab: Arc<Lab>) {
+    loop {
+        Timer::after(EXPIRY).await;
+        let mut store = lab.store();
+        let before = store.revision;
+        store.expire(lab.now());
+        if store.revision != before {
+            lab.store_changed.notify(usize::MAX);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/users.rs
@@ -0,0 +1,152 @@
+//! Users: each submits one job and asks about it until it is over.
+
+use crate::balancer;
+use crate::lab::{Lab, Side};
+use crate::machines::{exchange, within};
+use async_io::Timer;
+use glenhaven::protocol::to_cbor;
+use glenhaven::protocol::users::Spec;
+use glenhaven::transport::server::Outgoing;
+use glenhaven_standins::http::{Connection, Request, Response};
+use glenhaven_standins::user::{answered, Answered, Asked, User};
+use glenhaven_standins::SEC;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A refused or unanswered request is repeated after this.
+const RETRY: Duration = Duration::from_secs(1);
+
+/// A request of a user.
+fn request(asked: Asked, spec: &Spec) -> Request {
+    let (method, path, body) = match asked {
+        Asked::Submit => ("POST", "/v2/runs".to_string(), to_cbor(spec)),
+        Asked::Poll => ("GET", format!("/v2/runs/{}", spec.id), vec![]),
+        Asked::Abort => ("POST", format!("/v2/runs/{}/abort", spec.id), vec![]),
+    };
+    Request {
+        method: method.into(),
+        path,
+        body,
+    }
+}
+
+/// A connection to a controller.
+type Kept = Option<(usize, Connection)>;
+
+/// Submits a job and asks about it until it is over; after `abort_after` its user
+/// cancels it.
+pub async fn live(lab: Arc<Lab>, user: User, abort_after: Option<Duration>) {
+    let spec = user.spec.clone();
+    lab.fleet().users.insert(spec.id.clone(), user);
+    let aborts_at = abort_after.map(|after| lab.now() + after.as_micros() as u64);
+    let mut kept: Kept = None;
+    loop {
+        if aborts_at.is_some_and(|at| lab.now() >= at) {
+            if let Some(user) = lab.fleet().users.get_mut(&spec.id) {
+                user.wants_abort = true;
+            }
+        }
+        let node = match &kept {
+            Some((node, _)) => Some(*node),
+            None => balancer::choose(&lab, &mut lab.fleet().rng),
+        };
+        let asked = {
+            let mut fleet = lab.fleet();
+            let rid = fleet.request_number();
+            let now = lab.now();
+            fleet.users.get_mut(&spec.id).and_then(|user| user.asks(now, rid, node))
+        };
+        let Some(asked) = asked else { return };
+        let answer = ask(&lab, &mut kept, node, asked, &spec).await;
+        let retry = answer.as_ref().is_none_or(|response| response.status == 503);
+        if take(&lab, &spec.id, asked, answer) {
+            return;
+        }
+        let pause = match retry {
+            true => RETRY,
+            false => Duration::from_micros(asked.pause()),
+        };
+        let until_abort = aborts_at.map(|at| Duration::from_micros(at.saturating_sub(lab.now())));
+        let pause = until_abort
+            .filter(|left| !left.is_zero())
+            .map_or(pause, |left| pause.min(left));
+        Timer::after(pause).await;
+    }
+}
+
+/// Sends one request and waits for its answer.
+async fn ask(lab: &Lab, kept: &mut Kept, node: Option<usize>, asked: Asked, spec: &Spec) -> Option<Response> {
+    let node = node?;
+    let connection = kept.take().map(|(_, connection)| connection);
+    let request = request(asked, spec);
+    let limit = Duration::from_micros(asked.limit());
+    let exchange = exchange(lab, connection, node, Side::Users, &request);
+    let (connection, response) = within(limit, exchange).await?;
+    *kept = connection.map(|connection| (node, connection));
+    Some(response)
+}
+
+/// Takes in what came of a request: whether the job is over for its user.
+fn take(lab: &Lab, job: &str, asked: Asked, answer: Option<Response>) -> bool {
+    let mut fleet = lab.fleet();
+    let fleet = &mut *fleet;
+    let now = lab.now();
+    match answer {
+        Some(response) => {
+            let answer = Outgoing {
+                status: response.status,
+                body: response.body,
+                retry_after_s: response.retry_after_s,
+            };
+            let it = Answered {
+                now,
+                left: now,
+                calm: 0,
+                asked,
+                answer: &answer,
+            };
+            answered(&mut fleet.users, &fleet.results, &mut fleet.rules, job, &it);
+        }
+        None => {
+            if let Some(user) = fleet.users.get_mut(job) {
+                user.asked = None;
+                user.unanswered(now, 0);
+            }
+        }
+    }
+    let user = fleet.users.get(job);
+    user.is_none_or(|u| u.done.is_some() || u.cancelled.is_some() || u.refused.is_some())
+}
+
+/// Asks every healthy controller about jobs that were accepted, once all is over: none may
+/// be forgotten, and none may have gone back. How many questions were answered.
+pub async fn audit(lab: &Arc<Lab>, most: usize) -> usize {
+    let accepted: Vec<Spec> = {
+        let fleet = lab.fleet();
+        let known = fleet.users.values().filter(|u| u.accepted.is_some());
+        known.map(|u| u.spec.clone()).collect()
+    };
+    let step = accepted.len().div_ceil(most.max(1)).max(1);
+    let mut count = 0;
+    for node in 0..lab.nodes.len() {
+        if !lab.nodes[node].healthy.load(std::sync::atomic::Ordering::Relaxed) {
+            continue;
+        }
+        let mut kept: Kept = None;
+        for spec in accepted.iter().step_by(step) {
+            let answer = ask(lab, &mut kept, Some(node), Asked::Poll, spec).await;
+            if answer.is_some() {
+                count += 1;
+                take(lab, &spec.id, Asked::Poll, answer);
+            }
+        }
+    }
+    count
+}
+
+/// The longest time in which no question about an accepted job was answered.
+pub fn longest_silence(lab: &Lab) -> u64 {
+    let fleet = lab.fleet();
+    let known = fleet.users.values().filter(|u| u.accepted.is_some());
+    known.map(|u| u.silent / SEC).max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/lab/tests/small_run.rs
@@ -0,0 +1,206 @@
+//! The program as it is called: a small experiment to its end, and what stops one before
+//! it has begun.
+
+use std::net::{Ipv4Addr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+/// The glenhaven program beside this test's own, built with it in the workspace.
+fn controllers() -> PathBuf {
+    let lab = Path::new(env!("CARGO_BIN_EXE_glenhaven-lab"));
+    let program = lab.with_file_name("glenhaven");
+    if !program.exists() {
+        build_controllers(lab);
+    }
+    program
+}
+
+/// Builds glenhaven in the profile of this test; `cargo test --workspace` has done it.
+fn build_controllers(lab: &Path) {
+    let mut cargo = Command::new(env!("CARGO"));
+    cargo.current_dir(root()).args(["build", "--locked", "-p", "glenhaven"]);
+    if lab.parent().is_some_and(|dir| dir.ends_with("release")) {
+        cargo.arg("--release");
+    }
+    assert!(cargo.status().is_ok_and(|status| status.success()));
+}
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// A directory for one test, away at its end.
+struct Dir(PathBuf);
+
+impl Dir {
+    fn new(name: &str) -> Dir {
+        let path = std::env::temp_dir().join(format!("glenhaven-lab-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Dir(path)
+    }
+
+    /// The small experiment with addresses of this test's own.
+    fn experiment(&self, network: u8) -> PathBuf {
+        let small = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments/small.toml");
+        let text = std::fs::read_to_string(small).unwrap();
+        let text = text.replace("network = 41", &format!("network = {network}"));
+        let path = self.0.join("experiment.toml");
+        std::fs::write(&path, text).unwrap();
+        path
+    }
+
+    fn report(&self) -> PathBuf {
+        self.0.join("report")
+    }
+
+    fn command(&self, experiment: &Path, program: &Path) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_glenhaven-lab"));
+        command.arg("scale").arg(experiment);
+        command.arg("--controllers").arg(program);
+        command.arg("--report").arg(self.report());
+        command
+    }
+}
+
+impl Drop for Dir {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.0).ok();
+    }
+}
+
+/// An address range that other runs of these tests are not likely to use.
+fn network(test: u32) -> u8 {
+    let number = (std::process::id() * 5 + test) % 100;
+    100 + u8::try_from(number).unwrap()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).to_string()
+}
+
+fn said(output: &Output) -> String {
+    text(&output.stdout) + &text(&output.stderr)
+}
+
+/// Whether a process runs with this file among its arguments.
+fn runs_with(dir: &Path) -> bool {
+    let marker = dir.to_string_lossy().to_string();
+    let processes = std::fs::read_dir("/proc").unwrap().flatten();
+    processes
+        .filter_map(|entry| std::fs::read(entry.path().join("cmdline")).ok())
+        .any(|line| {
+            let line = text(&line);
+            line.contains("--config") && line.contains(&marker)
+        })
+}
+
+#[test]
+fn a_small_experiment_keeps_the_rules() {
+    let dir = Dir::new("small");
+    let experiment = dir.experiment(network(0));
+    let output = dir.command(&experiment, &controllers()).output().unwrap();
+    assert!(output.status.success(), "{}", said(&output));
+    let report = std::fs::read_to_string(dir.report().join("report.json")).unwrap();
+    let report: serde_json::Value = serde_json::from_str(&report).unwrap();
+    assert_eq!(report["broken"], serde_json::json!([]));
+    let number = |value: &serde_json::Value| value.as_f64().unwrap_or(0.0);
+    assert!(number(&report["jobs"]["done"]) >= 20.0, "{}", said(&output));
+    assert!(number(&report["starts"]) >= 200.0, "{}", said(&output));
+    for time in ["submit", "start_urgent", "start_other", "takeover"] {
+        assert!(number(&report["times"][time]["count"]) >= 1.0, "no times of {time}");
+    }
+    assert!(number(&report["leader"]["cpu_mean"]) > 0.0);
+    assert!(number(&report["follower"]["workers_received_mean"]) > 0.0);
+    let samples = std::fs::read_to_string(dir.report().join("samples.csv")).unwrap();
+    assert!(samples.lines().count() > 40);
+    for plot in ["cpu", "memory", "sockets", "received", "sent", "tasks", "times"] {
+        let plot = std::fs::read_to_string(dir.report().join(format!("{plot}.svg"))).unwrap();
+        assert!(plot.contains("polyline"));
+    }
+    assert!(!runs_with(&dir.0), "a controller was left behind");
+}
+
+#[test]
+fn a_missing_program_and_a_port_in_use_are_said() {
+    let dir = Dir::new("refused");
+    let network = network(1);
+    let experiment = dir.experiment(network);
+    let missing = dir.0.join("no-such-program");
+    let output = dir.command(&experiment, &missing).output().unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(said(&output).contains("no such program"), "{}", said(&output));
+    let _taken = TcpListener::bind((Ipv4Addr::new(127, network, 0, 2), 8080)).unwrap();
+    let output = dir.command(&experiment, &controllers()).output().unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(said(&output).contains("the port is in use"), "{}", said(&output));
+    assert!(!dir.report().exists(), "something was left behind");
+}
+
+#[test]
+fn a_wrong_experiment_is_said() {
+    let dir = Dir::new("wrong");
+    let experiment = dir.experiment(network(2));
+    let good = std::fs::read_to_string(&experiment).unwrap();
+    let run = |text: String| {
+        std::fs::write(&experiment, text).unwrap();
+        let output = dir.command(&experiment, &controllers()).output().unwrap();
+        assert_eq!(output.status.code(), Some(2), "{}", said(&output));
+        said(&output)
+    };
+    assert!(run(good.replace("count = 60", "count = 0")).contains("workers.count"));
+    assert!(run(good.replace("duration_s", "duration")).contains("duration"));
+    assert!(run(good.replace("zone = \"a\"", "zone = \"x\"")).contains("no zone x"));
+    assert!(!dir.report().exists(), "something was left behind");
+}
+
+/// File descriptors that a shell leaves to the program: too few for any experiment.
+const FEW_FILES: u32 = 100;
+
+#[test]
+fn a_machine_that_is_too_small_is_said() {
+    let dir = Dir::new("too-small");
+    let experiment = dir.experiment(network(3));
+    let command = dir.command(&experiment, &controllers());
+    let mut shell = Command::new("sh");
+    shell
+        .arg("-c")
+        .arg(format!("ulimit -n {FEW_FILES}; exec \"$@\""))
+        .arg("sh");
+    let output = shell
+        .arg(command.get_program())
+        .args(command.get_args())
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(
+        said(&output).contains("the machine is too small: open files"),
+        "{}",
+        said(&output)
+    );
+    assert!(!dir.report().exists(), "something was left behind");
+}
+
+#[test]
+fn an_interrupted_experiment_leaves_no_process() {
+    let dir = Dir::new("interrupted");
+    let experiment = dir.experiment(network(4));
+    let mut lab = dir
+        .command(&experiment, &controllers())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let until = |what: &str, holds: &dyn Fn() -> bool| {
+        let began = Instant::now();
+        while !holds() {
+            assert!(began.elapsed() < Duration::from_secs(15), "{what}");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    };
+    until("no controller was started", &|| runs_with(&dir.0));
+    let interrupted = Command::new("kill").arg("-INT").arg(lab.id().to_string()).status();
+    assert!(interrupted.is_ok_and(|status| status.success()));
+    let status = lab.wait().unwrap();
+    assert_eq!(status.code(), Some(130));
+    assert!(!runs_with(&dir.0), "a controller was left behind");
+}
