--- a/crates/lab/src/users.rs
+++ b/crates/lab/src/users.rs
@@ -10,6 +10,7 @@
 use glenhaven_standins::http::{Connection, Request, Response};
 use glenhaven_standins::user::{answered, Answered, Asked, User};
 use glenhaven_standins::SEC;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -118,8 +119,9 @@
     user.is_none_or(|u| u.done.is_some() || u.cancelled.is_some() || u.refused.is_some())
 }
 
-/// Asks every healthy controller about jobs that were accepted, once all is over: none may
-/// be forgotten, and none may have gone back. How many questions were answered.
+/// Asks every healthy controller, all at once, about jobs that were accepted, once all is
+/// over: none may be forgotten, and none may have gone back. How many questions were
+/// answered.
 pub async fn audit(lab: &Arc<Lab>, most: usize) -> usize {
     let accepted: Vec<Spec> = {
         let fleet = lab.fleet();
@@ -127,21 +129,31 @@
         known.map(|u| u.spec.clone()).collect()
     };
     let step = accepted.len().div_ceil(most.max(1)).max(1);
-    let mut count = 0;
-    for node in 0..lab.nodes.len() {
-        if !lab.nodes[node].healthy.load(std::sync::atomic::Ordering::Relaxed) {
-            continue;
-        }
-        let mut kept: Kept = None;
-        for spec in accepted.iter().step_by(step) {
-            let answer = ask(lab, &mut kept, Some(node), Asked::Poll, spec).await;
-            if answer.is_some() {
-                count += 1;
-                take(lab, &spec.id, Asked::Poll, answer);
-            }
+    let asked: Arc<Vec<Spec>> = Arc::new(accepted.into_iter().step_by(step).collect());
+    let healthy = |node: &usize| lab.nodes[*node].healthy.load(Ordering::Relaxed);
+    let audits: Vec<_> = (0..lab.nodes.len())
+        .filter(healthy)
+        .map(|node| lab.executor.spawn(audit_one(lab.clone(), node, asked.clone())))
+        .collect();
+    let mut answered = 0;
+    for audit in audits {
+        answered += audit.await;
+    }
+    answered
+}
+
+/// Asks one controller about these jobs: how many questions were answered.
+async fn audit_one(lab: Arc<Lab>, node: usize, asked: Arc<Vec<Spec>>) -> usize {
+    let mut kept: Kept = None;
+    let mut answered = 0;
+    for spec in asked.iter() {
+        let answer = ask(&lab, &mut kept, Some(node), Asked::Poll, spec).await;
+        if answer.is_some() {
+            answered += 1;
+            take(&lab, &spec.id, Asked::Poll, answer);
         }
     }
-    count
+    answered
 }
 
 /// The longest time in which no question about an accepted job was answered.
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -51,6 +51,16 @@
     }
 }
 
+/// A whole head at the beginning of some bytes: how long it is, and what it says.
+type Head<T> = Option<(usize, T)>;
+
+/// The first line and the headers of a request.
+struct RequestHead {
+    method: String,
+    path: String,
+    headers: Headers,
+}
+
 /// What is looked at in a message's headers.
 #[derive(Default)]
 struct Headers {
@@ -137,7 +147,7 @@
     }
 
     /// Reads until `parse` has found a whole head: what it found, without the head's bytes.
-    async fn head<T>(&mut self, parse: impl Fn(&[u8]) -> Result<Option<(usize, T)>>) -> Result<Option<T>> {
+    async fn head<T>(&mut self, parse: impl Fn(&[u8]) -> Result<Head<T>>) -> Result<Option<T>> {
         loop {
             if let Some((length, head)) = parse(&self.rest)? {
                 self.rest.drain(..length);
@@ -167,10 +177,11 @@
 
     /// Reads a request; `None` when the other side has closed the connection.
     pub async fn read_request(&mut self) -> Result<Option<Request>> {
-        let Some((method, path, headers)) = self.head(request_head).await? else {
+        let Some(head) = self.head(request_head).await? else {
             return Ok(None);
         };
-        let body = self.body(headers.length).await?;
+        let body = self.body(head.headers.length).await?;
+        let (method, path) = (head.method, head.path);
         Ok(Some(Request { method, path, body }))
     }
 
@@ -231,20 +242,23 @@
     }
 }
 
-fn request_head(bytes: &[u8]) -> Result<Option<(usize, (String, String, Headers))>> {
+fn request_head(bytes: &[u8]) -> Result<Head<RequestHead>> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut request = httparse::Request::new(&mut headers);
     match request.parse(bytes).map_err(|e| bad(&e.to_string()))? {
         httparse::Status::Partial => Ok(None),
         httparse::Status::Complete(length) => {
-            let method = request.method.unwrap_or("").to_string();
-            let path = request.path.unwrap_or("").to_string();
-            Ok(Some((length, (method, path, Headers::read(request.headers)?))))
+            let head = RequestHead {
+                method: request.method.unwrap_or("").to_string(),
+                path: request.path.unwrap_or("").to_string(),
+                headers: Headers::read(request.headers)?,
+            };
+            Ok(Some((length, head)))
         }
     }
 }
 
-fn response_head(bytes: &[u8]) -> Result<Option<(usize, (u16, Headers))>> {
+fn response_head(bytes: &[u8]) -> Result<Head<(u16, Headers)>> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut headers);
     match response.parse(bytes).map_err(|e| bad(&e.to_string()))? {
