--- a/tests/sim/looks.rs
+++ b/tests/sim/looks.rs
@@ -10,6 +10,7 @@
 use glenhaven::protocol::users::{JobState, Shape, Spec};
 use glenhaven::protocol::{from_cbor, to_cbor};
 use glenhaven::transport::server::Outgoing;
+use glenhaven_standins::user::job_of;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// When all nodes are asked, after something has happened to a job.
@@ -121,7 +122,7 @@
 
     /// A task has completed; its job may have ended with it.
     pub fn task_ended(&mut self, task: &str) {
-        let job = super::rules::job_of(task).to_string();
+        let job = job_of(task).to_string();
         let Some(user) = self.users.get(&job) else { return };
         let over = user.wants_abort || user.done.is_some();
         if over || !(0..user.spec.tasks).all(|t| self.results.contains(&format!("{job}/{t}"))) {
@@ -164,7 +165,7 @@
     pub fn cancel_now(&mut self, count: usize, hangs: Option<u64>) {
         let mut running: Vec<(String, String)> = vec![];
         for worker in self.workers.values().filter(|w| w.up) {
-            for job in worker.long_to_go(self.now + LONG).map(super::rules::job_of) {
+            for job in worker.long_to_go(self.now + LONG).map(job_of) {
                 running.push((job.into(), worker.name.clone()));
             }
         }
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -12,11 +12,11 @@
 mod outbox;
 pub mod planted;
 mod renewals;
-pub mod rules;
 pub mod script;
 pub mod shares;
 mod starving;
-pub mod store;
+mod state_service;
+mod steps;
 pub mod troubles;
 pub mod users;
 pub mod workers;
@@ -28,11 +28,9 @@
 use glenhaven::settings::Settings;
 use glenhaven::time::Micros;
 use glenhaven::transport::server::Outgoing;
+pub use glenhaven_standins::{rules, store, MS, SEC};
 use std::collections::{BTreeMap, BTreeSet};
 
-pub const MS: u64 = 1000;
-pub const SEC: u64 = 1_000_000;
-
 /// Something that will happen.
 pub enum Ev {
     Tick(usize, u64),
@@ -152,6 +150,7 @@
     pub rng: fastrand::Rng,
     pub nodes: Vec<Node>,
     pub store: store::Store,
+    watches: BTreeMap<u64, state_service::Watch>,
     pub cloud: cloud::Cloud,
     pub workers: BTreeMap<String, workers::Worker>,
     pub users: BTreeMap<String, users::User>,
@@ -202,10 +201,11 @@
             rng: fastrand::Rng::with_seed(script.seed),
             nodes,
             store,
-            cloud: cloud::Cloud::new(&script),
+            watches: BTreeMap::new(),
+            cloud: script.cloud(),
             workers: BTreeMap::new(),
             users: BTreeMap::new(),
-            rules: rules::Rules::new(&script),
+            rules: rules::Rules::new(&script.base.params.teams, script.base.params.workers.cancel_s),
             answers: answers::Answers::new(&script),
             starving: starving::Starving::default(),
             troubles: looks::Troubles::default(),
@@ -498,258 +498,6 @@
         }
     }
 
-    fn step(&mut self, i: usize) {
-        use script::Act;
-        let step = self.script.steps[i].clone();
-        if let Act::FreezeOnGrant = step.act {
-            self.broken.trap = step.lasts.map(|lasts| (i, lasts));
-            return;
-        }
-        if let Some(lasts) = step.lasts {
-            self.after(lasts, Ev::Heal(i));
-        }
-        match step.act {
-            Act::Submit(spec) => {
-                let id = spec.id.clone();
-                self.users
-                    .insert(id.clone(), users::User::new(*spec, step.run_s, step.mistake));
-                self.event(Ev::User(id));
-            }
-            Act::Inherit(spec) => {
-                self.store.inherit(&spec);
-                let mut user = users::User::new(*spec.clone(), step.run_s, step.mistake);
-                user.submitted = true;
-                user.accepted = Some(self.now);
-                self.answers.inherited(&spec.id);
-                self.users.insert(spec.id.clone(), user);
-                self.event(Ev::User(spec.id));
-            }
-            Act::Abort(job) => {
-                if let Some(user) = self.users.get_mut(&job) {
-                    user.wants_abort = true;
-                }
-                self.event(Ev::User(job));
-            }
-            Act::Resubmit(job) => {
-                if let Some(user) = self.users.get_mut(&job) {
-                    user.resubmit = true;
-                }
-                self.event(Ev::User(job));
-            }
-            Act::AskUnknown(job) => {
-                self.users.insert(job.clone(), users::User::stranger(&job));
-                self.event(Ev::User(job));
-            }
-            Act::Crash(who) => {
-                let nodes: Vec<usize> = match who.as_str() {
-                    "all" => (0..self.nodes.len()).collect(),
-                    "leader" => self.leader().into_iter().collect(),
-                    n => n.parse().into_iter().collect(),
-                };
-                for n in nodes {
-                    self.crash_node(n);
-                    self.after(step.lasts.unwrap_or(3 * SEC), Ev::Start(n));
-                }
-            }
-            Act::CrashOn(key) => self.broken.ends_on.push((key, step.lasts.unwrap_or(3 * SEC))),
-            Act::StateOut => {
-                self.broken.state_out.insert(i);
-                self.store.outage(true, self.now);
-            }
-            Act::StateDeaf(n) => {
-                let n = if n == usize::MAX { self.leader().unwrap_or(0) } else { n };
-                self.broken.state_deaf.insert(i, n);
-            }
-            Act::CloudOut => {
-                self.broken.cloud_out.insert(i);
-            }
-            Act::LoseTxn(late) => {
-                self.broken.lose_txn.insert(i, late);
-            }
-            Act::LateWrites(share, prefix) => {
-                self.broken.late_writes.insert(i, (share, prefix));
-            }
-            Act::LateReports(share) => {
-                self.broken.late_reports.insert(i, share);
-            }
-            Act::HoldDirect(late) => {
-                self.broken.hold_direct.insert(i, late);
-            }
-            Act::Cut(count) => {
-                let busy = self.busiest(count);
-                self.broken.cut.insert(i, busy);
-            }
-            Act::ZoneCut(a, b) => {
-                self.broken.zones.insert(i, (a, b));
-            }
-            Act::ZoneOff(zone) => {
-                self.broken.zone_off.insert(i, zone);
-            }
-            Act::Hang(count) => {
-                let until = self.now + step.lasts.unwrap_or(SEC);
-                for name in self.busiest(count) {
-                    self.hang(&name, until);
-                }
-            }
-            Act::Kill(count) => {
-                for name in self.busiest(count) {
-                    self.machine_dies(&name);
-                }
-            }
-            Act::Notice(seconds) => {
-                let spot: Vec<String> = self
-                    .workers
-                    .values()
-                    .filter(|w| w.spot)
-                    .map(|w| w.name.clone())
-                    .collect();
-                for name in spot {
-                    self.notice(&name, seconds);
-                }
-            }
-            Act::Faulty(count) => {
-                for name in self.busiest(count) {
-                    if let Some(w) = self.workers.get_mut(&name) {
-                        w.faulty = true;
-                    }
-                }
-            }
-            Act::Slow(count) => {
-                let now = self.now;
-                for name in self.busiest(count) {
-                    if let Some(w) = self.workers.get_mut(&name) {
-                        w.slow_down(now, 4);
-                    }
-                }
-            }
-            Act::Ghost => self.ghost_machine(),
-            Act::FreezeOnGrant => {}
-            Act::Freeze(who) => {
-                if let Some(n) = self.which(&who) {
-                    self.broken.frozen.insert(i, n);
-                }
-            }
-            Act::NodeCut(who, from) => {
-                if let Some(n) = self.which(&who) {
-                    self.broken.node_cut.insert(i, (n, from));
-                }
-            }
-            Act::PeersRefuse => {
-                self.broken.refuse.insert(i);
-            }
-            Act::LinkCut(from, to) => {
-                if let (Some(from), Some(to)) = (self.fixed(&from), self.fixed(&to)) {
-                    let pairs = from.iter().flat_map(|a| to.iter().map(move |b| (a.clone(), b.clone())));
-                    self.broken.links.insert(i, pairs.collect());
-                }
-            }
-            Act::Deaf(count) => {
-                let busy = self.busiest(count);
-                self.broken.deaf.insert(i, busy);
-            }
-            Act::SlowAnswers(late) => {
-                self.broken.slow_answers.insert(i, late);
-            }
-            Act::Copies(late) => {
-                self.broken.copies.insert(i, late);
-            }
-            Act::Boots(factor) => {
-                self.broken.boots.insert(i, factor);
-            }
-            Act::OldRelease(node) => {
-                self.store.old_release(&node);
-                self.tell_watches();
-            }
-            Act::Garbage(key) => {
-                self.store.garbage(key);
-                self.tell_watches();
-            }
-            Act::StateLimits => self.store.lower(),
-            Act::CancelNow(count, hangs) => self.cancel_now(count, hangs),
-            Act::CancelAtEnd(share) => {
-                self.troubles.cancel_at_end.insert(i, share);
-            }
-            Act::CloseLooks => {
-                self.troubles.close_looks.insert(i);
-            }
-            Act::OddRequests => {
-                self.troubles.odd_requests.insert(i);
-                self.odd_requests(i);
-            }
-            Act::Trouble(trouble) => self.begin_trouble(i, &trouble),
-            Act::Storm(factor) => {
-                self.broken.storm.insert(i, factor);
-                let all: Vec<String> = self.users.keys().cloned().collect();
-                for job in all {
-                    self.event(Ev::User(job));
-                }
-            }
-        }
-    }
-
-    /// The controller that a script means: a number, or `leader`.
-    fn which(&self, who: &str) -> Option<usize> {
-        match who {
-            "leader" => self.leader(),
-            n => n.parse().ok(),
-        }
-    }
-
-    fn heal(&mut self, i: usize) {
-        if let Some(n) = self.broken.frozen.remove(&i) {
-            // Everything that came meanwhile is there at once, each message on a
-            // connection of its own: they are read in any order.
-            let mut inbox = std::mem::take(&mut self.nodes[n].inbox);
-            self.rng.shuffle(&mut inbox);
-            self.nodes[n].inbox = inbox;
-            while !self.broken.is_frozen(n) && !self.nodes[n].inbox.is_empty() {
-                let most = self.nodes[n].inbox.len().min(256);
-                let batch: Vec<Command> = self.nodes[n].inbox.drain(..most).collect();
-                self.run(n, batch);
-            }
-        }
-        self.troubles.heal(i);
-        let b = &mut self.broken;
-        b.state_out.remove(&i);
-        b.state_deaf.remove(&i);
-        b.cloud_out.remove(&i);
-        b.cut.remove(&i);
-        b.zones.remove(&i);
-        b.zone_off.remove(&i);
-        b.lose_txn.remove(&i);
-        b.hold_direct.remove(&i);
-        b.late_writes.remove(&i);
-        b.late_reports.remove(&i);
-        b.node_cut.remove(&i);
-        b.refuse.remove(&i);
-        b.links.remove(&i);
-        b.deaf.remove(&i);
-        b.copies.remove(&i);
-        b.slow_answers.remove(&i);
-        b.boots.remove(&i);
-        b.storm.remove(&i);
-        b.lasting.heal(i);
-        if self.broken.state_out.is_empty() {
-            self.store.outage(false, self.now);
-        }
-        // What was held back arrives now, in order.
-        for (_, ev) in std::mem::take(&mut self.held) {
-            self.after(MS, ev);
-        }
-    }
-
-    /// The machines with most tasks.
-    fn busiest(&self, count: usize) -> BTreeSet<String> {
-        let mut by: Vec<(std::cmp::Reverse<usize>, String)> = self
-            .workers
-            .values()
-            .filter(|w| w.up)
-            .map(|w| (std::cmp::Reverse(w.tasks.len()), w.name.clone()))
-            .collect();
-        by.sort();
-        by.into_iter().take(count).map(|x| x.1).collect()
-    }
-
     /// The number of the last term.
     pub fn last_term(&self) -> u64 {
         self.store.term()
--- a/tests/sim/starving.rs
+++ b/tests/sim/starving.rs
@@ -1,11 +1,11 @@
 //! Jobs left waiting, once all troubles are over, while a machine that fits has room and
 //! their team is under its limit. Worked out from machines and submissions alone.
 
-use super::rules::job_of;
 use super::users::User;
 use super::workers::Worker;
 use super::{World, SEC};
 use glenhaven::protocol::users::Spec;
+use glenhaven_standins::user::job_of;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How long a job may wait like this.
