--- a/tests/sim/planted.rs
+++ b/tests/sim/planted.rs
@@ -2,7 +2,6 @@
 //! to show that the search for meetings finds them. The controllers' own code is what it is
 //! in the daemon: nothing there can be switched.
 
-use super::rules::job_of;
 use super::{Ev, Origin, World, SEC};
 use glenhaven::coordination::{CloudAnswer, CloudRequest, Command, Effect};
 use glenhaven::protocol::peer::PeerMessage;
@@ -11,6 +10,7 @@
 use glenhaven::protocol::workers::{Direct, Order, Orders, Report};
 use glenhaven::protocol::{from_cbor, to_cbor};
 use glenhaven::transport::server::Outgoing;
+use glenhaven_standins::user::job_of;
 use std::collections::BTreeMap;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/tests/sim/users.rs
+++ b/tests/sim/users.rs
@@ -1,87 +1,13 @@
-//! A stand-in for users and the load balancer.
+//! Users and the load balancer among simulated hosts.
 
 use super::answers::Answer;
 use super::looks::Moment;
 use super::{Ev, Origin, World, SEC};
 use glenhaven::coordination::{Command, UserRequest};
-use glenhaven::protocol::users::{JobState, Phase, Spec};
+use glenhaven::protocol::users::{JobState, Phase};
 use glenhaven::protocol::{from_cbor, to_cbor};
 use glenhaven::transport::server::Outgoing;
-
-#[derive(Clone, Copy, PartialEq, Debug)]
-pub enum Asked {
-    Submit,
-    Poll,
-    Abort,
-}
-
-pub struct User {
-    pub spec: Spec,
-    pub run: u64,
-    /// It fails on every machine.
-    pub mistake: bool,
-    /// The job's description is uploaded with its first submission.
-    pub submitted: bool,
-    pub wants_abort: bool,
-    pub resubmit: bool,
-    stranger: bool,
-    pub first_asked: Option<u64>,
-    pub accepted: Option<u64>,
-    pub refused: Option<u16>,
-    /// When the answer left that first told its user that it is cancelled, and arrived.
-    pub cancelled: Option<u64>,
-    pub done: Option<u64>,
-    pub first_running: Option<u64>,
-    asked: Option<(u64, Asked)>,
-    /// When that was sent.
-    sent: u64,
-    /// The controller that was asked.
-    node: Option<usize>,
-    failed_since: Option<u64>,
-    /// How long questions about it went unanswered once all troubles were over, at most.
-    pub silent: u64,
-}
-
-impl User {
-    pub fn new(spec: Spec, run_s: f64, mistake: bool) -> User {
-        User {
-            mistake,
-            spec,
-            run: (run_s * SEC as f64) as u64,
-            submitted: false,
-
-            wants_abort: false,
-            resubmit: false,
-            stranger: false,
-            first_asked: None,
-            accepted: None,
-            refused: None,
-            cancelled: None,
-            done: None,
-            first_running: None,
-            asked: None,
-            sent: 0,
-            node: None,
-            failed_since: None,
-            silent: 0,
-        }
-    }
-
-    /// The request that this controller has yet to answer.
-    pub fn asked_of(&self, n: usize) -> Option<u64> {
-        self.asked.filter(|_| self.node == Some(n)).map(|a| a.0)
-    }
-
-    /// Someone who asks about a job that no one submitted.
-    pub fn stranger(job: &str) -> User {
-        let mut spec = super::script::plain_spec(job);
-        spec.image = "none".into();
-        User {
-            stranger: true,
-            ..User::new(spec, 1.0, false)
-        }
-    }
-}
+pub use glenhaven_standins::user::{Asked, User};
 
 impl World {
     /// Sends a user's next request, unless one is under way.
@@ -102,24 +28,15 @@
             return self.after(SEC / 50, Ev::User(job.into()));
         }
         let Some(user) = self.users.get_mut(job) else { return };
-        if user.asked.is_some() || user.refused.is_some() {
+        let Some(asked) = user.asks(self.now, rid, pick) else {
             return;
-        }
-        let (asked, request, limit) = if user.resubmit {
-            user.resubmit = false;
-            (Asked::Submit, UserRequest::Submit(to_cbor(&user.spec)), 5 * SEC)
-        } else if user.accepted.is_none() && !user.stranger {
-            user.submitted = true;
-            user.first_asked.get_or_insert(self.now);
-            (Asked::Submit, UserRequest::Submit(to_cbor(&user.spec)), 5 * SEC)
-        } else if user.wants_abort && user.cancelled.is_none() && user.done.is_none() {
-            (Asked::Abort, UserRequest::Abort(job.into()), 5 * SEC)
-        } else {
-            (Asked::Poll, UserRequest::Poll(job.into()), 2 * SEC)
         };
-        user.asked = Some((rid, asked));
-        user.sent = self.now;
-        user.node = pick;
+        let request = match asked {
+            Asked::Submit => UserRequest::Submit(to_cbor(&user.spec)),
+            Asked::Abort => UserRequest::Abort(job.into()),
+            Asked::Poll => UserRequest::Poll(job.into()),
+        };
+        let limit = asked.limit();
         self.after(limit, Ev::UserLate(job.into(), rid));
         if let Some(n) = pick {
             let id = self.id();
@@ -136,8 +53,7 @@
         let Some(user) = self.users.get_mut(job) else { return };
         if user.asked.is_some_and(|a| a.0 == rid) {
             user.asked = None;
-            let since = *user.failed_since.get_or_insert(now);
-            user.silent = user.silent.max(now.saturating_sub(since.max(calm)));
+            user.unanswered(now, calm);
             self.after(SEC, Ev::User(job.into()));
         }
     }
@@ -168,9 +84,8 @@
             400 | 422 if !known => user.refused = Some(answer.status),
             400 | 404 | 422 if known => {}
             _ => {
-                let since = *user.failed_since.get_or_insert(now);
-                user.silent = user.silent.max(now.saturating_sub(since.max(calm)));
-                if known && now - since > 90 * SEC {
+                user.unanswered(now, calm);
+                if user.is_forgotten(now) {
                     self.rules
                         .broken
                         .push(format!("forgotten: {job} not answered for 90 s"));
@@ -206,21 +121,9 @@
         let Some(user) = self.users.get_mut(job) else {
             return true;
         };
-        user.failed_since = None;
-        let accepted = user.accepted.replace(user.accepted.unwrap_or(now)).is_none();
+        let accepted = user.accepted.is_none();
         let cancelled = state.phase == Phase::Cancelled && user.cancelled.is_none();
-        match state.phase {
-            Phase::Done => {
-                user.done.get_or_insert(now);
-            }
-            Phase::Cancelled => {
-                user.cancelled.get_or_insert(left);
-            }
-            Phase::Running => {
-                user.first_running.get_or_insert(now);
-            }
-            Phase::Pending => {}
-        }
+        user.told(now, left, state.phase);
         if cancelled {
             self.look_closely(job, Moment::Cancelled);
         } else if accepted {
@@ -234,8 +137,8 @@
         let user = &self.users[job];
         let pause = match asked {
             _ if status == 503 => SEC,
-            Asked::Submit | Asked::Abort => SEC / 10,
-            Asked::Poll => 5 * SEC / self.broken.storm.values().copied().max().unwrap_or(1),
+            Asked::Poll => asked.pause() / self.broken.storm.values().copied().max().unwrap_or(1),
+            _ => asked.pause(),
         };
         if user.refused.is_none() {
             self.after(pause, Ev::User(job.into()));
