A report of an earlier session is said in the log where it arrives

Cause: the test of a session that goes back found no line: the copy is dropped at the controller that it reaches, before the leader's line. Change: one line there.

--- a/src/coordination/workers/heartbeats.rs
+++ b/src/coordination/workers/heartbeats.rs
@@ -98,16 +98,20 @@
     /// needs a connection to every worker; they are passed on to the leader.
     pub(in crate::coordination) fn on_report(&mut self, id: u64, report: Report) {
         let now = self.sh.now;
-        let number = (report.session, report.serial);
-        if self
-            .care
-            .served
-            .get(&report.machine)
-            .is_some_and(|(_, r)| (r.session, r.serial) >= number)
-        {
-            // A copy of a report that was taken in: nobody waits for the answer, and it must
-            // move neither the worker nor what is known of it.
-            return self.sh.reply(id, 503, vec![], Some(1));
+        if let Some((_, last)) = self.care.served.get(&report.machine) {
+            if (last.session, last.serial) >= (report.session, report.serial) {
+                if report.session < last.session {
+                    tracing::warn!(
+                        machine = report.machine,
+                        session = report.session,
+                        last = last.session,
+                        "a report of an earlier session"
+                    );
+                }
+                // A copy of a report that was taken in: nobody waits for the answer, and it must
+                // move neither the worker nor what is known of it.
+                return self.sh.reply(id, 503, vec![], Some(1));
+            }
         }
         if let Some(node) = self.less_busy(&report.machine) {
             return self.send_away(id, &report.machine, node);
