--- a/src/coordination/book.rs
+++ b/src/coordination/book.rs
@@ -44,6 +44,8 @@
 
 /// The account of classes and teams forgets half in this time.
 const ACCOUNT: Micros = Micros::from_millis(120_000);
+/// Sums of cores differ by less than this from what they should be.
+const OVER_LIMIT: f64 = 1e-6;
 /// A replica that has run for this long does well.
 const RUNS_WELL: Micros = Micros::from_millis(20_000);
 
@@ -476,11 +478,32 @@
 /// What a team's jobs hold and wait for, in cores, and how long the oldest has waited.
 #[derive(Clone, Copy, Debug, Default)]
 struct TeamShare {
+    /// What counts towards the team's limit.
     held: f64,
+    /// Of it: starts that are recorded or are being recorded and that no machine has reported.
+    unseen: f64,
+    /// Of it: tasks that were asked to stop.
+    stopping: f64,
+    /// Recorded tasks that have exited and count no longer.
+    exited: f64,
     wanted: f64,
     oldest: Micros,
 }
 
+impl TeamShare {
+    fn count(&mut self, placement: &Placement, cpus: f64) {
+        match placement.stage {
+            Stage::Exited(_) => self.exited += cpus,
+            Stage::Committing | Stage::Sent => self.unseen += cpus,
+            Stage::Seen(_) => {}
+        }
+        let holds = !matches!(placement.stage, Stage::Exited(_));
+        if holds && placement.stop.is_some() {
+            self.stopping += cpus;
+        }
+    }
+}
+
 /// Whom to answer once an early report can be.
 pub enum EarlyReport {
     Worker(u64),
@@ -790,6 +813,9 @@
         for job in self.jobs.values() {
             let share = shares.entry(&job.spec.team).or_default();
             share.held += f64::from(job.held) * job.spec.cpus;
+            for placement in job.placed.values() {
+                share.count(placement, job.spec.cpus);
+            }
             if job.may_run() && !job.waiting.is_empty() {
                 share.wanted += job.waiting.len() as f64 * job.spec.cpus;
                 share.oldest = share.oldest.max(now.since(job.arrived));
@@ -837,18 +863,31 @@
         );
         let shares = self.team_shares(now);
         for team in &site.settings.params.teams {
-            let TeamShare { held, wanted, oldest } = shares.get(team.name.as_str()).copied().unwrap_or_default();
-            if held > 0.0 || wanted > 0.0 {
+            let share = shares.get(team.name.as_str()).copied().unwrap_or_default();
+            if share.held > 0.0 || share.wanted > 0.0 {
                 tracing::info!(
                     team = team.name,
-                    holds_cpus = held,
+                    term = self.term,
+                    holds_cpus = share.held,
+                    unseen_cpus = share.unseen,
+                    stopping_cpus = share.stopping,
+                    exited_cpus = share.exited,
                     guaranteed = team.cpus,
                     limit = team.cpus_max,
-                    waiting_cpus = wanted,
-                    oldest_wait_s = oldest.secs(),
+                    waiting_cpus = share.wanted,
+                    oldest_wait_s = share.oldest.secs(),
                     "team"
                 );
             }
+            if team.cpus_max > 0.0 && share.held > team.cpus_max + OVER_LIMIT {
+                tracing::error!(
+                    team = team.name,
+                    term = self.term,
+                    holds_cpus = share.held,
+                    limit = team.cpus_max,
+                    "a team holds more than its limit"
+                );
+            }
         }
     }
 
--- a/src/coordination/commit/outcome.rs
+++ b/src/coordination/commit/outcome.rs
@@ -125,6 +125,14 @@
             self.apply_part(part);
         }
         for start in pending.starts {
+            tracing::debug!(
+                job = %start.job,
+                task = start.task,
+                attempt = start.attempt,
+                term = self.term,
+                revision,
+                "start recorded"
+            );
             self.apply_start(start, now);
         }
         for id in &pending.completed {
--- a/src/coordination/commit/restore.rs
+++ b/src/coordination/commit/restore.rs
@@ -72,6 +72,7 @@
     fn log_restored(&self, now: Micros) {
         tracing::info!(
             term = self.term,
+            jobs_seen = self.committer.seen,
             pages = self.committer.pages.len(),
             jobs = self.jobs.len(),
             placements = self.jobs.values().map(|j| j.placed.len()).sum::<usize>(),
--- a/src/coordination/desk/accept.rs
+++ b/src/coordination/desk/accept.rs
@@ -132,7 +132,8 @@
             key: keys::job(id),
             version: 0,
         }));
-        tracing::debug!(slot = batch.slot, jobs = batch.jobs.len(), "acceptances");
+        let (number, slot, version) = (batch.number, batch.slot, batch.version);
+        tracing::debug!(number, slot, version, jobs = batch.jobs.len(), "acceptances");
         let page = Accepted {
             jobs: batch.jobs.into_iter().map(|(_, spec)| *spec).collect(),
         };
@@ -169,6 +170,15 @@
             }
             for id in self.submits.remove(&job).unwrap_or_default() {
                 if let Some(pending) = self.pending.remove(&id) {
+                    let waited_ms = sh.now.since(pending.at).0 / 1000;
+                    tracing::debug!(
+                        job,
+                        number,
+                        revision,
+                        waited_ms,
+                        ?phase,
+                        "accepted by a page of this node"
+                    );
                     self.waits.record(sh.now.since(pending.at));
                     self.answer(sh, id, &job, phase, 201);
                 }
--- a/src/coordination/desk/answers.rs
+++ b/src/coordination/desk/answers.rs
@@ -142,6 +142,7 @@
         let job = pending.job.clone();
         match answer {
             StoreAnswer::Committed { revision } => {
+                tracing::debug!(job, revision, "cancelled by its user");
                 self.learn(&job, revision, Phase::Cancelled);
                 self.pending.remove(&id);
                 self.answer(sh, id, &job, Phase::Cancelled, 200);
--- a/src/coordination/leadership/election.rs
+++ b/src/coordination/leadership/election.rs
@@ -246,7 +246,7 @@
                     return;
                 }
                 let raised = self.lead.role == Role::Leader;
-                tracing::info!(term = term.term, raised, "leading");
+                tracing::info!(term = term.term, raised, revision, "leading");
                 self.lead.current = Some((term, revision));
                 self.lead.live = Some((self.lead.node.clone(), revision));
                 self.lead.role = Role::Leader;
--- a/src/coordination/leadership/watches.rs
+++ b/src/coordination/leadership/watches.rs
@@ -89,6 +89,14 @@
         let now = self.sh.now;
         match answer {
             StoreAnswer::Events(events) => {
+                if !events.events.is_empty() {
+                    tracing::debug!(
+                        revision = events.revision,
+                        changes = events.events.len(),
+                        age_ms = now.since(sent).0 / 1000,
+                        "news of jobs"
+                    );
+                }
                 self.desk.on_news(&mut self.sh, &self.site, &events.events);
                 if let Some(leader) = self.leader.as_mut() {
                     leader.on_job_news(events.events, now);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -297,6 +297,8 @@
     next_log: Micros,
     /// When the last batch was worked through, and when this process began.
     last_batch: Micros,
+    /// The longest time between two batches since the last log.
+    longest_pause: Micros,
     began: Micros,
     /// When changes were refused lately because there were too many.
     limited: VecDeque<Micros>,
@@ -344,6 +346,7 @@
             started: false,
             next_log: now,
             last_batch: now,
+            longest_pause: Micros::ZERO,
             began: now,
             limited: VecDeque::new(),
         };
@@ -425,6 +428,7 @@
         }
         let still = self.sh.now.since(self.last_batch);
         self.last_batch = self.sh.now;
+        self.longest_pause = self.longest_pause.max(still);
         if still > STANDSTILL {
             self.stood_still(still);
         }
@@ -670,6 +674,7 @@
         }
         if now >= self.next_log {
             self.next_log = now + Micros::from_secs(10.0);
+            self.log_state_service();
             if let Some(waited) = self.desk.take_waits() {
                 let (open, pages) = self.desk.pages();
                 tracing::debug!(?waited, open, pages, "accepted");
@@ -689,6 +694,21 @@
         }
     }
 
+    /// Whose token this controller acts under, up to which revision it has read the state
+    /// service, how long answers took, and how long this process did nothing: it tells a slow
+    /// service from a controller that waits for its processor.
+    fn log_state_service(&mut self) {
+        let longest_pause = std::mem::take(&mut self.longest_pause);
+        tracing::info!(
+            term = self.lead.term(),
+            leads = self.leader.is_some(),
+            jobs_seen = self.lead.jobs_seen_if_known(),
+            round_trips = ?self.sh.store.take_round_trips(),
+            longest_pause_ms = longest_pause.0 / 1000,
+            "state service"
+        );
+    }
+
     fn tick_leader(&mut self) {
         self.ask_recall();
         let Some(leader) = self.leader.as_mut() else { return };
--- a/src/coordination/store_queue.rs
+++ b/src/coordination/store_queue.rs
@@ -3,6 +3,7 @@
 use crate::protocol::store::StoreRequest;
 use crate::time::Micros;
 use crate::transport::pace::Bucket;
+use glenhaven_intake::{Waited, Waits};
 use std::collections::{BTreeMap, VecDeque};
 
 /// How urgent a request is; the first is the most urgent.
@@ -31,6 +32,13 @@
     at: Option<Micros>,
 }
 
+/// A request that was sent and has not been answered.
+struct InFlight<W> {
+    wait: W,
+    watch: bool,
+    sent: Micros,
+}
+
 /// What has waited here for longer is not sent any more: whoever wanted it has
 /// given up, or decides anew.
 const TOO_OLD: Micros = Micros::from_millis(4000);
@@ -41,8 +49,10 @@
     writes: Bucket,
     queues: [VecDeque<Queued<W>>; 4],
     delayed: BTreeMap<(Micros, u64), (Urgency, Queued<W>)>,
-    flying: BTreeMap<u64, (W, bool)>,
+    in_flight: BTreeMap<u64, InFlight<W>>,
     watches: usize,
+    /// How long requests took that were answered since the last log, watches aside.
+    round_trips: Waits,
     next: u64,
     /// The least and the most of requests and changes a second, the present
     /// rates, and when they were last raised.
@@ -77,8 +87,9 @@
             writes: Bucket::new(write_rps, now),
             queues: Default::default(),
             delayed: BTreeMap::new(),
-            flying: BTreeMap::new(),
+            in_flight: BTreeMap::new(),
             watches: 0,
+            round_trips: Waits::default(),
             next: 1,
             least: (rps, write_rps),
             most: (rps, write_rps),
@@ -199,6 +210,12 @@
         old
     }
 
+    /// How long the requests took that were answered since the last call, watches aside. A
+    /// request without an answer counts with its time limit.
+    pub fn take_round_trips(&mut self) -> Option<Waited> {
+        self.round_trips.take()
+    }
+
     /// A number for a request that does not go through this queue.
     pub fn foreign(&mut self) -> u64 {
         self.next += 1;
@@ -223,7 +240,7 @@
             while let Some(head) = self.queues[level].front() {
                 let cost = changes(&head.request);
                 let watch = matches!(head.request, StoreRequest::Watch { .. });
-                if !watch && level > 0 && self.flying.len() - self.watches >= IN_FLIGHT {
+                if !watch && level > 0 && self.in_flight.len() - self.watches >= IN_FLIGHT {
                     break;
                 }
                 if !self.requests.allows(1.0, *reserve, now) {
@@ -238,7 +255,9 @@
                 if let Some(queued) = self.queues[level].pop_front() {
                     self.next += 1;
                     self.watches += usize::from(watch);
-                    self.flying.insert(self.next, (queued.wait, watch));
+                    let wait = queued.wait;
+                    let sent = now;
+                    self.in_flight.insert(self.next, InFlight { wait, watch, sent });
                     out.push((self.next, queued.request, queued.timeout));
                 }
             }
@@ -249,9 +268,11 @@
     /// What an answer is for. A refusal empties the buckets a little, so that
     /// nodes whose shares do not add up slow down together.
     pub fn answered(&mut self, id: u64, refused: bool, now: Micros) -> Option<W> {
-        let (wait, watch) = self.flying.remove(&id)?;
+        let InFlight { wait, watch, sent } = self.in_flight.remove(&id)?;
         if watch {
             self.watches -= 1;
+        } else {
+            self.round_trips.record(now.since(sent));
         }
         if refused {
             self.writes.spill(1.0, now);
--- a/src/coordination/workers/outbox.rs
+++ b/src/coordination/workers/outbox.rs
@@ -240,6 +240,15 @@
         }
         placement.sent = true;
         placement.fence = placement.fence.max(leave.fence);
+        tracing::debug!(
+            job = %task.job,
+            task = task.task,
+            attempt = placement.attempt,
+            machine = %name,
+            session,
+            token = leave.fence,
+            "start sent: its record stands"
+        );
         Some(Order::Start {
             task: format!("{}/{}", task.job, task.task),
             attempt: placement.attempt,
@@ -253,6 +262,14 @@
         if placement.machine != *name || !may_run {
             return None;
         }
+        tracing::debug!(
+            job = %task.job,
+            task = task.task,
+            attempt = placement.attempt,
+            machine = %name,
+            term = self.term,
+            "stop sent"
+        );
         Some(Order::Stop {
             task: format!("{}/{}", task.job, task.task),
             attempt: placement.attempt,
@@ -265,6 +282,15 @@
         if self.has_record(name, &attempt) {
             return None;
         }
+        // It counts towards no team's limit. Unless it was started under an earlier token, its
+        // record was freed too early.
+        tracing::info!(
+            machine = %name,
+            task = attempt.task,
+            attempt = attempt.number,
+            term = self.term,
+            "stop sent: no record explains the attempt"
+        );
         Some(Order::Stop {
             task: attempt.task,
             attempt: attempt.number,
--- a/src/coordination/workers/reports.rs
+++ b/src/coordination/workers/reports.rs
@@ -208,7 +208,9 @@
         }
         if report.session > placement.session {
             // The session that the record was made for is over, and everything of it was killed.
-            tracing::debug!(job = %id, task, machine = %name, "lost with its session");
+            let (session, recorded) = (report.session, placement.session);
+            let attempt = placement.attempt;
+            tracing::debug!(job = %id, task, attempt, machine = %name, session, recorded, "lost with its session");
             return self.free(id, task, now);
         }
         match entry {
@@ -219,7 +221,8 @@
             None if placement.sent && report.fence > placement.fence => {
                 // Every start of it left under a lower token, and is refused from here on; the
                 // machine does not have the task.
-                tracing::debug!(job = %id, task, machine = %name, "not on its machine");
+                let (attempt, sent_under, fence) = (placement.attempt, placement.fence, report.fence);
+                tracing::debug!(job = %id, task, attempt, machine = %name, sent_under, fence, "not on its machine");
                 self.free(id, task, now);
             }
             None if placement.stop.is_some() || !live => {
