Failing scenarios: a submission repeated while its page is on its way goes back

Cause: not mended here. A submission of a job whose page is on its way waits with the first one and is answered by that page's commit, which may be older than the request. Change: two scenarios, one with a state service that answers up to 80 ms late, one with two controllers that get their processor for a sixth of each 100 ms (new verb `throttle`).

--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -54,6 +54,7 @@
     OddRequests(usize),
     Step(usize),
     Heal(usize),
+    Throttle(usize),
     Start(usize),
     /// Services are looked at.
     Look,
@@ -353,6 +354,7 @@
             Ev::OddRequests(step) => self.odd_requests(step),
             Ev::Step(i) => self.step(i),
             Ev::Heal(i) => self.heal(i),
+            Ev::Throttle(i) => self.throttle(i),
             Ev::Look => {
                 self.rules.look_at_services(self.now, &self.workers, &self.users);
                 self.look_for_starving();
--- a/tests/sim/troubles.rs
+++ b/tests/sim/troubles.rs
@@ -52,8 +52,13 @@
     Kill(Which),
     /// The state service answers up to so much later.
     SlowState(u64),
+    /// A controller gets its processor for so large a share of each period only.
+    Throttle(usize, f64),
 }
 
+/// A throttled controller runs at the beginning of each period.
+const PERIOD: u64 = 100 * MS;
+
 impl Which {
     fn parse(words: &Words) -> Result<Which, String> {
         let count = words.word(3).and_then(|n| n.parse().map_err(|_| "count".into()));
@@ -84,6 +89,10 @@
             }
             "kill" => Trouble::Kill(Which::parse(words)?),
             "state-slow" => Trouble::SlowState((share()? * SEC as f64) as u64),
+            "throttle" => {
+                let node = words.word(3)?.parse().map_err(|_| "node".to_string())?;
+                Trouble::Throttle(node, words.num("share", 0.16)?)
+            }
             other => return Err(format!("unknown act {other}")),
         })
     }
@@ -107,6 +116,8 @@
     late_commands: BTreeMap<usize, f64>,
     held_answers: BTreeMap<usize, (BTreeSet<String>, u64)>,
     slow_state: BTreeMap<usize, u64>,
+    /// The throttled controller, and its share of the processor.
+    throttled: BTreeMap<usize, (usize, f64)>,
     /// Messages that these troubles lost, held up or copied.
     pub met: usize,
     /// Copies of reports for the next leader.
@@ -124,6 +135,7 @@
         self.late_commands.remove(&step);
         self.held_answers.remove(&step);
         self.slow_state.remove(&step);
+        self.throttled.remove(&step);
     }
 }
 
@@ -171,7 +183,25 @@
             Trouble::SlowState(by) => {
                 self.broken.lasting.slow_state.insert(step, *by);
             }
+            Trouble::Throttle(n, share) => {
+                self.broken.lasting.throttled.insert(step, (*n, *share));
+                self.throttle(step);
+            }
+        }
+    }
+
+    /// A throttled controller has used up its share of the period, or the next one begins.
+    pub fn throttle(&mut self, step: usize) {
+        let Some(&(n, share)) = self.broken.lasting.throttled.get(&step) else {
+            return;
+        };
+        let runs = (PERIOD as f64 * share) as u64;
+        if self.broken.frozen.contains_key(&step) {
+            self.thaw(step);
+            return self.after(runs, Ev::Throttle(step));
         }
+        self.broken.frozen.insert(step, n);
+        self.after(PERIOD - runs, Ev::Throttle(step));
     }
 
     /// Whether so large a share, drawn anew each time, includes this message.
