--- a/src/coordination/book.rs
+++ b/src/coordination/book.rs
@@ -847,6 +847,7 @@
             up,
             booting,
             doomed = self.machines.len() - up - booting,
+            unexplained = self.machines.values().map(|m| m.strangers).sum::<usize>(),
             helpers = self.helpers[0],
             pools = ?self.pools.iter().map(|(k, v)| format!("{}x{}={}", k.class, k.need, v)).collect::<Vec<_>>(),
             "fleet"
--- a/src/coordination/workers/outbox.rs
+++ b/src/coordination/workers/outbox.rs
@@ -284,7 +284,7 @@
         }
         // It counts towards no team's limit. Unless it was started under an earlier token, its
         // record was freed too early.
-        tracing::info!(
+        tracing::debug!(
             machine = %name,
             task = attempt.task,
             attempt = attempt.number,
