A submission is answered by its page only if it came before the page left

Cause: a submission of a job whose page was on its way waited with the earlier ones, and the page's commit answered all of them. The commit proves the job open at its own instant, which may lie before the request: another controller may have confirmed a cancellation in between. Class: an answer by evidence older than its question; the check stood in the path of compares and reads and not in that of acceptances. Change: requests are numbered as they come (desk/evidence.rs). Every message to the state service notes the last one that was here when it left; open phases and refusals are said by one function each, which looks at this number, and has the job compared anew for a request that is younger. Only a final phase is told from memory. Submissions of chained jobs that joined later lose the shortcut past an unsettled job before them in the same way. The parts of the desk that judge submissions have a module of their own.

--- a/src/coordination/desk.rs
+++ b/src/coordination/desk.rs
@@ -2,13 +2,17 @@
 //! compare-and-set, answers only after the commit or a read in this request.
 //!
 //! This room owns what users wait for and what is known of jobs' phases. An open job is
-//! known from a page of acceptances; its own key exists once it is over, for ever.
+//! known from a page of acceptances; its own key exists once it is over, for ever. What an
+//! answer may rest on, `evidence` decides.
 
 mod accept;
 mod answers;
 mod cancelled;
+mod evidence;
 mod named;
+mod request;
 
+pub use evidence::{Arrival, Source};
 pub use named::Held;
 
 use super::store_queue::Urgency;
@@ -17,29 +21,44 @@
 use crate::bookkeeping::records::{kept, to_value, JobValue};
 use crate::protocol::peer::Progress;
 use crate::protocol::store::{Change, Condition, StoreAnswer, StoreRequest, Txn};
-use crate::protocol::users::{id_in, is_job_id, ErrorBody, JobState, Phase, Spec};
+use crate::protocol::users::{id_in, is_job_id, ErrorBody, Phase, Spec};
 use crate::protocol::{json_size, to_cbor};
 use crate::time::Micros;
 use glenhaven_chains::Chains;
 use glenhaven_intake::{Intake, Waited, Waits};
+use request::{Ask, Pending};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// What an answer of the state service is for.
+/// A job whose own key is compared, and the requests that the compare is to answer.
+#[derive(Clone, Debug)]
+pub struct Compared {
+    job: String,
+    version: u64,
+    requests: Vec<u64>,
+}
+
+/// What an answer of the state service is for. `covers`: the last request that had come when the
+/// question left, and so the last that its answer may decide.
 #[derive(Clone, Debug)]
 pub enum DeskWait {
-    /// One compare for many jobs: job, version, and the requests it answers.
-    /// Only requests that were here when it was sent may be answered by it.
-    Verify(Vec<(String, u64, Vec<u64>)>),
-    Read(String, Vec<u64>),
+    /// One compare for many jobs.
+    Verify { covers: Arrival, jobs: Vec<Compared> },
+    /// The job's own key.
+    Read {
+        covers: Arrival,
+        job: String,
+        requests: Vec<u64>,
+    },
     /// A page of this node with this number and slot was written.
-    Accept(u64, u32),
+    Accept { covers: Arrival, number: u64, slot: u32 },
     /// A page of this node, whose version was not as expected.
     Page(u32),
     /// All pages of acceptances, to begin with: which reading of them this is part of.
     Pages(u64),
     /// All news of jobs up to now, for requests about jobs that are not known here.
-    Sync(Vec<u64>),
-    Abort(u64, u64),
+    Sync { covers: Arrival, requests: Vec<u64> },
+    /// A cancellation, for this request.
+    Abort(u64),
 }
 
 /// A refusal tells users to come back after this long.
@@ -56,29 +75,6 @@
 /// How long questions are gathered before one compare answers them.
 const GATHER: Micros = Micros::from_millis(100);
 
-#[derive(Clone, Debug)]
-enum Ask {
-    /// A valid submission.
-    Submit(Box<Spec>),
-    /// A submission that gets this status unless its job was accepted before.
-    Refusable(u16, String),
-    Poll,
-    Abort,
-}
-
-struct Pending {
-    id: u64,
-    job: String,
-    ask: Ask,
-    at: Micros,
-    /// Of a submission that names jobs: those whose own keys were missing when they were
-    /// read for it, and whether all news were read for it.
-    missing: BTreeSet<String>,
-    synced: bool,
-    /// A page of this node accepts it; whether another one did before is being read.
-    accepted_here: bool,
-}
-
 /// What a page holds beside its jobs.
 const PAGE_FRAME: usize = 60;
 /// A request about a page that is not answered by then is made again.
@@ -137,6 +133,8 @@
     next_named: Micros,
     order: VecDeque<String>,
     pending: BTreeMap<u64, Pending>,
+    /// The last request that came.
+    arrived: Arrival,
     /// Requests whose job has to be compared or read, by job.
     to_verify: BTreeMap<String, Vec<u64>>,
     verifying: usize,
@@ -150,6 +148,10 @@
     refusals: BTreeMap<&'static str, u32>,
     /// How long the accepted waited at this node since the last log.
     waits: Waits,
+    /// Answers since the last log, by what they rested on.
+    answered: BTreeMap<Source, u32>,
+    /// Requests since the last log that came after the evidence at hand had been asked for.
+    asked_anew: u32,
 }
 
 impl Desk {
@@ -173,6 +175,7 @@
             next_named: Micros::ZERO,
             order: VecDeque::new(),
             pending: BTreeMap::new(),
+            arrived: Arrival::default(),
             to_verify: BTreeMap::new(),
             verifying: 0,
             next_verify: Micros::ZERO,
@@ -181,6 +184,8 @@
             refused_since: None,
             refusals: BTreeMap::new(),
             waits: Waits::default(),
+            answered: BTreeMap::new(),
+            asked_anew: 0,
         }
     }
 
@@ -278,7 +283,7 @@
     pub fn read_job(&mut self, sh: &mut Shared, job: &str) {
         let known = !self.is_ready() || self.known.contains_key(job);
         if !known && is_job_id(job) && self.reading.insert(job.to_string()) {
-            send_read(sh, job, vec![], Micros::ZERO);
+            self.send_read(sh, job, vec![], Micros::ZERO);
         }
     }
 
@@ -292,7 +297,7 @@
     ) {
         let (job, ask) = match request {
             UserRequest::Submit(body) => match Spec::parse(&body) {
-                Ok(spec) => (spec.id.clone(), Self::judge(site, spec)),
+                Ok(spec) => (spec.id.clone(), Ask::submission(site, spec)),
                 Err(why) => {
                     tracing::warn!(%why, "malformed submission");
                     match id_in(&body) {
@@ -313,7 +318,8 @@
             self.counts.insert(job.clone(), c);
         }
         if let Some(phase) = self.final_phase(&job) {
-            return self.answer(sh, id, &job, phase, 200);
+            let evidence = self.final_evidence(&job);
+            return self.answer(sh, id, &job, phase, 200, &evidence);
         }
         let out = self.refused_since.is_some_and(|at| sh.now.since(at) > OUT_AFTER);
         if out {
@@ -322,11 +328,13 @@
         if sh.store.user_backlog() > BACKLOG || self.pending.len() > 2 * BACKLOG {
             return self.refuse_now(sh, id, "too much waits here");
         }
+        self.arrived = self.arrived.next();
         let pending = Pending {
             id,
             job: job.clone(),
             ask,
             at: sh.now,
+            arrival: self.arrived,
             missing: BTreeSet::new(),
             synced: false,
             accepted_here: false,
@@ -335,47 +343,6 @@
         self.advance(sh, site, id);
     }
 
-    /// A valid submission, or what it would be refused with.
-    fn judge(site: &Site, spec: Spec) -> Ask {
-        if !site.settings.params.teams.iter().any(|t| t.name == spec.team) {
-            return Ask::Refusable(422, "unknown team".into());
-        }
-        if spec.needs.contains(&spec.id) {
-            return Ask::Refusable(422, "the job waits for itself".into());
-        }
-        if site.catalogue.is_empty() {
-            return Ask::Refusable(503, "the machine types are not known yet".into());
-        }
-        // The version before chains would start the job at once.
-        if let (false, Some(node)) = (spec.needs.is_empty(), &site.lagging) {
-            return Ask::Refusable(503, format!("{node} has yet to get this version"));
-        }
-        let (cpus, gpus) = site.limits(&spec.team);
-        let tasks = match spec.shape {
-            crate::protocol::users::Shape::Array => 1.0,
-            crate::protocol::users::Shape::Service => f64::from(spec.tasks),
-        };
-        if spec.cpus * tasks > cpus + 1e-9 || spec.gpus * tasks > gpus + 1e-9 {
-            return Ask::Refusable(422, "over the team's limit".into());
-        }
-        let fits = site.catalogue.values().any(|t| {
-            t.cpus >= spec.cpus
-                && t.gpus >= spec.gpus
-                && t.memory >= spec.memory
-                && spec.types.as_ref().is_none_or(|types| types.contains(&t.name))
-                && spec.zone.as_ref().is_none_or(|zone| t.zones.contains(zone))
-        });
-        // Its description has to fit into one value, packed if need be, with room for a frame.
-        if kept(&spec, u64::MAX >> 16, room_for_one(site)).is_none() {
-            return Ask::Refusable(503, "the state service cannot hold the description".into());
-        }
-        if fits {
-            Ask::Submit(Box::new(spec))
-        } else {
-            Ask::Refusable(422, "a task fits no allowed machine type".into())
-        }
-    }
-
     /// Takes a request's next step.
     fn advance(&mut self, sh: &mut Shared, site: &Site, id: u64) {
         let Some(pending) = self.pending.get(&id) else { return };
@@ -384,7 +351,8 @@
         let names = matches!(&pending.ask, Ask::Submit(spec) if !spec.needs.is_empty());
         if let Some(phase) = self.final_phase(&job) {
             self.pending.remove(&id);
-            return self.answer(sh, id, &job, phase, 200);
+            let evidence = self.final_evidence(&job);
+            return self.answer(sh, id, &job, phase, 200, &evidence);
         }
         if names && known.is_none() && !self.all_named_known(id) {
             return;
@@ -420,7 +388,7 @@
                 sh.store.push(
                     Urgency::Start,
                     StoreRequest::Txn(txn),
-                    Wait::Desk(DeskWait::Abort(id, known.version)),
+                    Wait::Desk(DeskWait::Abort(id)),
                     Micros::from_millis(400),
                 );
             }
@@ -473,7 +441,10 @@
                 after: seen,
                 wait_ms: 0,
             };
-            let wait = Wait::Desk(DeskWait::Sync(std::mem::take(&mut self.to_sync)));
+            let wait = Wait::Desk(DeskWait::Sync {
+                covers: self.arrived,
+                requests: std::mem::take(&mut self.to_sync),
+            });
             sh.store.push(Urgency::User, request, wait, Micros::from_millis(400));
         }
         // One compare answers many polls; two in flight keep a slow one from
@@ -483,26 +454,27 @@
         while self.verifying < 2 && !self.to_verify.is_empty() && now >= self.next_verify {
             self.next_verify = now + GATHER;
             let limit = site.limits.conditions();
-            let mut batch = vec![];
-            while batch.len() < limit {
-                let Some((job, ids)) = self.to_verify.pop_first() else {
+            let mut jobs = vec![];
+            while jobs.len() < limit {
+                let Some((job, requests)) = self.to_verify.pop_first() else {
                     break;
                 };
                 let version = self.known.get(&job).map_or(0, |k| k.version);
-                batch.push((job, version, ids));
+                jobs.push(Compared { job, version, requests });
             }
             let txn = Txn {
-                conditions: batch
+                conditions: jobs
                     .iter()
-                    .map(|(job, version, _)| Condition {
-                        key: keys::job(job),
-                        version: *version,
+                    .map(|compared| Condition {
+                        key: keys::job(&compared.job),
+                        version: compared.version,
                     })
                     .collect(),
                 changes: vec![],
             };
             self.verifying += 1;
-            let wait = Wait::Desk(DeskWait::Verify(batch));
+            let covers = self.arrived;
+            let wait = Wait::Desk(DeskWait::Verify { covers, jobs });
             sh.store
                 .push(Urgency::User, StoreRequest::Txn(txn), wait, Micros::from_millis(300));
         }
@@ -555,19 +527,10 @@
         }
     }
 
-    fn answer(&self, sh: &mut Shared, id: u64, job: &str, phase: Phase, status: u16) {
-        let (done, running) = self.counts.get(job).copied().unwrap_or((0, 0));
-        let state = JobState {
-            id: job.to_string(),
-            phase: match phase {
-                Phase::Pending | Phase::Running if running > 0 => Phase::Running,
-                Phase::Running => Phase::Pending,
-                other => other,
-            },
-            done: (!phase.is_final()).then_some(done),
-            running: (!phase.is_final()).then_some(running),
-        };
-        sh.reply(id, status, to_cbor(&state), None);
+    /// How many requests were answered since the last call, by what the answers rested on, and
+    /// how many came too late for the evidence at hand.
+    pub fn take_answered(&mut self) -> (BTreeMap<Source, u32>, u32) {
+        (std::mem::take(&mut self.answered), std::mem::take(&mut self.asked_anew))
     }
 }
 
@@ -577,18 +540,6 @@
     site.limits.value_bytes().saturating_sub(300)
 }
 
-/// Reads a job's key on behalf of these requests.
-fn send_read(sh: &mut Shared, job: &str, ids: Vec<u64>, pause: Micros) {
-    let request = StoreRequest::Get { key: keys::job(job) };
-    let wait = Wait::Desk(DeskWait::Read(job.to_string(), ids));
-    let timeout = Micros::from_millis(300);
-    if pause == Micros::ZERO {
-        sh.store.push(Urgency::User, request, wait, timeout);
-    } else {
-        sh.store.push_at(sh.now + pause, Urgency::User, request, wait, timeout);
-    }
-}
-
 /// Refuses a request at once; 503 says when to come back.
 fn refuse(sh: &mut Shared, id: u64, status: u16, why: &str) {
     let body = to_cbor(&ErrorBody { error: why.to_string() });
--- a/src/coordination/desk/accept.rs
+++ b/src/coordination/desk/accept.rs
@@ -3,7 +3,8 @@
 
 use super::super::store_queue::Urgency;
 use super::super::{Shared, Site, Wait};
-use super::{refuse, send_read, Desk, DeskWait, Known, PAGE_FRAME, PAGE_LIMIT};
+use super::evidence::{Arrival, Evidence, Source};
+use super::{refuse, Desk, DeskWait, Known, PAGE_FRAME, PAGE_LIMIT};
 use crate::bookkeeping::keys;
 use crate::bookkeeping::records::{from_value, to_value, Accepted, JobValue};
 use crate::protocol::store::{Change, Condition, Event, StoreAnswer, StoreRequest, Txn};
@@ -145,47 +146,43 @@
                 lease: None,
             }],
         };
-        let wait = Wait::Desk(DeskWait::Accept(batch.number, batch.slot));
+        // Requests that come from here on may be younger than the commit.
+        let covers = self.arrived;
+        let wait = Wait::Desk(DeskWait::Accept { covers, number, slot });
         sh.store.push(Urgency::User, StoreRequest::Txn(txn), wait, PAGE_LIMIT);
     }
 
-    /// The page's jobs are accepted: it was committed at this revision.
-    fn accepted(&mut self, sh: &mut Shared, number: u64, revision: u64) {
+    /// The page's jobs are accepted: it was committed at this revision. Requests that came after
+    /// it had left go on with what is known now.
+    fn accepted(&mut self, sh: &mut Shared, number: u64, evidence: &Evidence) {
         let known = &self.known;
         let is_over = |id: &str| known.get(id).is_some_and(|k| k.phase.is_final());
-        for (job, spec) in self.intake.committed(number, revision, is_over) {
-            self.learn_accepted(*spec, revision, true);
+        for (job, spec) in self.intake.committed(number, evidence.revision, is_over) {
+            self.learn_accepted(*spec, evidence.revision, true);
             let phase = self.known.get(&job).map_or(Phase::Pending, |k| k.phase);
             let phase = self.final_phase(&job).unwrap_or(phase);
-            if !phase.is_final() && self.waits(&job) {
-                // Another node may have accepted it before, and told its user since that it is
-                // withdrawn with one before it: the news up to now tell.
-                for id in self.submits.remove(&job).unwrap_or_default() {
-                    if let Some(pending) = self.pending.get_mut(&id) {
-                        pending.accepted_here = true;
-                        self.to_sync.push(id);
-                    }
-                }
-                continue;
-            }
+            // Another node may have accepted it before, and told its user since that it is
+            // withdrawn with one before it: the news up to now tell.
+            let waits = !phase.is_final() && self.waits(&job);
             for id in self.submits.remove(&job).unwrap_or_default() {
-                if let Some(pending) = self.pending.remove(&id) {
-                    let waited_ms = sh.now.since(pending.at).0 / 1000;
-                    tracing::debug!(
-                        job,
-                        number,
-                        revision,
-                        waited_ms,
-                        ?phase,
-                        "accepted by a page of this node"
-                    );
-                    self.waits.record(sh.now.since(pending.at));
-                    self.answer(sh, id, &job, phase, 201);
+                if waits {
+                    self.await_news(id, evidence);
+                } else {
+                    self.answer_by(sh, id, phase, 201, evidence);
                 }
             }
         }
     }
 
+    /// A submission of a job that waits for others, and that a page of this node accepts, is
+    /// answered after all news up to now were read.
+    fn await_news(&mut self, id: u64, page: &Evidence) {
+        if let Some(pending) = self.pending.get_mut(&id) {
+            pending.accepted_here = page.covers(pending.arrival);
+            self.to_sync.push(id);
+        }
+    }
+
     /// Requests that wait for the acceptance of a job that was accepted by another page, or
     /// is over, go on with that.
     pub(super) fn settle_submits(&mut self, sh: &mut Shared, site: &Site) {
@@ -203,9 +200,20 @@
         }
     }
 
-    pub(super) fn on_accept(&mut self, sh: &mut Shared, site: &Site, (number, slot): (u64, u32), answer: StoreAnswer) {
+    /// The answer to a page of this node that left when `covers` was the last request.
+    pub(super) fn on_accept(
+        &mut self,
+        sh: &mut Shared,
+        site: &Site,
+        covers: Arrival,
+        (number, slot): (u64, u32),
+        answer: StoreAnswer,
+    ) {
         match answer {
-            StoreAnswer::Committed { revision } => self.accepted(sh, number, revision),
+            StoreAnswer::Committed { revision } => {
+                let evidence = Evidence::new(Source::Page, covers, revision);
+                self.accepted(sh, number, &evidence);
+            }
             StoreAnswer::Conflict { failed, .. } => {
                 let over: Vec<String> = failed
                     .iter()
@@ -216,7 +224,7 @@
                 self.intake.failed(number, &over);
                 for job in over {
                     let ids = self.submits.remove(&job).unwrap_or_default();
-                    send_read(sh, &job, ids, Micros::ZERO);
+                    self.send_read(sh, &job, ids, Micros::ZERO);
                 }
                 let key = keys::accepted(&self.node, slot);
                 if failed.contains(&key) {
--- a/src/coordination/desk/answers.rs
+++ b/src/coordination/desk/answers.rs
@@ -1,90 +1,126 @@
 //! Answers of the state service to what the desk asked, and what each one means for the
 //! requests that wait for it.
 
-use super::super::{Shared, Site};
-use super::{refuse, send_read, Ask, Desk, DeskWait, Pages};
+use super::super::store_queue::Urgency;
+use super::super::{Shared, Site, Wait};
+use super::evidence::{Arrival, Evidence, Source};
+use super::{refuse, Ask, Compared, Desk, DeskWait, Pages};
 use crate::bookkeeping::keys;
 use crate::bookkeeping::records::{from_value, JobValue};
-use crate::protocol::store::StoreAnswer;
-use crate::protocol::users::Phase;
+use crate::protocol::store::{StoreAnswer, StoreRequest};
+use crate::protocol::to_cbor;
+use crate::protocol::users::{JobState, Phase};
 use crate::time::Micros;
 use glenhaven_chains::Stand;
 
+/// A read that is not answered by then is made again.
+const READ_LIMIT: Micros = Micros::from_millis(300);
+
 impl Desk {
     /// An answer of the state service for the users' desk has come.
     pub fn on_store(&mut self, sh: &mut Shared, site: &Site, wait: DeskWait, answer: StoreAnswer) {
         match wait {
-            DeskWait::Verify(batch) => self.on_verify(sh, site, batch, answer),
-            DeskWait::Read(job, ids) => self.on_read(sh, site, job, ids, answer),
-            DeskWait::Accept(number, slot) => self.on_accept(sh, site, (number, slot), answer),
+            DeskWait::Verify { covers, jobs } => self.on_verify(sh, site, covers, jobs, answer),
+            DeskWait::Read { covers, job, requests } => self.on_read(sh, site, covers, job, requests, answer),
+            DeskWait::Accept { covers, number, slot } => self.on_accept(sh, site, covers, (number, slot), answer),
             DeskWait::Page(slot) => self.on_own_page(sh, site, slot, answer),
             DeskWait::Pages(of) if of != self.reading_of => {}
             DeskWait::Pages(_) => self.on_pages(sh, site, answer),
-            DeskWait::Sync(ids) => self.on_sync(sh, site, ids, answer),
-            DeskWait::Abort(id, _) => self.on_abort(sh, site, id, answer),
+            DeskWait::Sync { covers, requests } => self.on_sync(sh, site, covers, requests, answer),
+            DeskWait::Abort(id) => self.on_abort(sh, site, id, answer),
         }
     }
 
     /// The answer to one compare for many jobs.
-    fn on_verify(&mut self, sh: &mut Shared, site: &Site, batch: Vec<(String, u64, Vec<u64>)>, answer: StoreAnswer) {
+    fn on_verify(&mut self, sh: &mut Shared, site: &Site, covers: Arrival, jobs: Vec<Compared>, answer: StoreAnswer) {
         self.verifying = self.verifying.saturating_sub(1);
-        match answer {
-            StoreAnswer::Committed { .. } => {
-                for (job, version, ids) in batch {
-                    self.verified(sh, site, &job, version, ids);
-                }
-            }
-            StoreAnswer::Conflict { failed, .. } => {
-                for (job, version, ids) in batch {
-                    if failed.contains(&keys::job(&job)) {
-                        let unchecked = self.known.get(&job).is_some_and(|k| !k.checked);
-                        let needed = self.chains.is_needed(&job) || self.chains.job(&job).is_some();
-                        if unchecked && ids.is_empty() && !needed {
-                            // Over: how is read when somebody asks.
-                            self.known.remove(&job);
-                            self.intake.over(&job);
-                            continue;
-                        }
-                        send_read(sh, &job, ids, Micros::ZERO);
-                    } else {
-                        self.verified(sh, site, &job, version, ids);
-                    }
-                }
+        let (failed, revision) = match answer {
+            StoreAnswer::Committed { revision } => (vec![], revision),
+            StoreAnswer::Conflict { failed, revision } => (failed, revision),
+            _ => return self.compare_again(jobs),
+        };
+        let evidence = Evidence::new(Source::Compare, covers, revision);
+        for Compared { job, version, requests } in jobs {
+            if failed.contains(&keys::job(&job)) {
+                self.differs(sh, &job, requests);
+            } else {
+                self.verified(sh, site, &job, version, requests, &evidence);
             }
-            _ => {
-                for (job, _, ids) in batch {
-                    let unchecked = self.known.get(&job).is_some_and(|k| !k.checked);
-                    if unchecked || ids.iter().any(|id| self.pending.contains_key(id)) {
-                        self.to_verify.entry(job).or_default().extend(ids);
-                    }
-                }
+        }
+    }
+
+    /// A compare was not executed: it is made again for those who still wait.
+    fn compare_again(&mut self, jobs: Vec<Compared>) {
+        for Compared { job, requests, .. } in jobs {
+            let unchecked = self.known.get(&job).is_some_and(|k| !k.checked);
+            if unchecked || requests.iter().any(|id| self.pending.contains_key(id)) {
+                self.to_verify.entry(job).or_default().extend(requests);
             }
         }
     }
 
+    /// A job's own key is not as it is known here.
+    fn differs(&mut self, sh: &mut Shared, job: &str, requests: Vec<u64>) {
+        let unchecked = self.known.get(job).is_some_and(|k| !k.checked);
+        let needed = self.chains.is_needed(job) || self.chains.job(job).is_some();
+        if unchecked && requests.is_empty() && !needed {
+            // Over: how is read when somebody asks.
+            self.known.remove(job);
+            self.intake.over(job);
+            return;
+        }
+        self.send_read(sh, job, requests, Micros::ZERO);
+    }
+
+    /// Reads a job's own key on behalf of these requests.
+    pub(super) fn send_read(&self, sh: &mut Shared, job: &str, requests: Vec<u64>, pause: Micros) {
+        let request = StoreRequest::Get { key: keys::job(job) };
+        let wait = Wait::Desk(DeskWait::Read {
+            covers: self.arrived,
+            job: job.to_string(),
+            requests,
+        });
+        if pause == Micros::ZERO {
+            sh.store.push(Urgency::User, request, wait, READ_LIMIT);
+        } else {
+            sh.store
+                .push_at(sh.now + pause, Urgency::User, request, wait, READ_LIMIT);
+        }
+    }
+
     /// A job's own key was read for these requests.
-    fn on_read(&mut self, sh: &mut Shared, site: &Site, job: String, ids: Vec<u64>, answer: StoreAnswer) {
+    fn on_read(
+        &mut self,
+        sh: &mut Shared,
+        site: &Site,
+        covers: Arrival,
+        job: String,
+        ids: Vec<u64>,
+        answer: StoreAnswer,
+    ) {
         match answer {
             StoreAnswer::Row(row) => {
+                let evidence = Evidence::new(Source::Read, covers, row.version);
                 self.reading.remove(&job);
                 match from_value::<JobValue>(&row.value) {
                     Some(value) => self.learn(&job, row.version, value.phase),
                     None => tracing::error!(job, "malformed job value"),
                 }
                 if let Some(known) = self.known.get(&job).copied() {
-                    self.verified(sh, site, &job, known.version, ids);
+                    self.verified(sh, site, &job, known.version, ids, &evidence);
                 }
             }
-            StoreAnswer::Missing { .. } => {
+            StoreAnswer::Missing { revision } => {
                 self.reading.remove(&job);
-                self.verified(sh, site, &job, 0, ids);
+                let evidence = Evidence::new(Source::Read, covers, revision);
+                self.verified(sh, site, &job, 0, ids, &evidence);
             }
             _ => {
                 self.reading.remove(&job);
                 let unchecked = self.known.get(&job).is_some_and(|k| !k.checked);
                 if unchecked || ids.iter().any(|id| self.pending.contains_key(id)) {
                     let pause = sh.jitter(Micros::from_millis(80));
-                    send_read(sh, &job, ids, pause);
+                    self.send_read(sh, &job, ids, pause);
                 }
             }
         }
@@ -123,7 +159,7 @@
     }
 
     /// All news of jobs up to now were read for these requests.
-    fn on_sync(&mut self, sh: &mut Shared, site: &Site, ids: Vec<u64>, answer: StoreAnswer) {
+    fn on_sync(&mut self, sh: &mut Shared, site: &Site, covers: Arrival, ids: Vec<u64>, answer: StoreAnswer) {
         self.syncing = false;
         let StoreAnswer::Events(events) = answer else {
             self.to_sync
@@ -131,8 +167,9 @@
             return;
         };
         self.on_news(sh, site, &events.events);
+        let evidence = Evidence::new(Source::News, covers, events.revision);
         for id in ids {
-            self.synced(sh, site, id);
+            self.synced(sh, site, id, &evidence);
         }
     }
 
@@ -145,9 +182,10 @@
                 tracing::debug!(job, revision, "cancelled by its user");
                 self.learn(&job, revision, Phase::Cancelled);
                 self.pending.remove(&id);
-                self.answer(sh, id, &job, Phase::Cancelled, 200);
+                let evidence = Evidence::of_final_phase(revision);
+                self.answer(sh, id, &job, Phase::Cancelled, 200, &evidence);
             }
-            StoreAnswer::Conflict { .. } => send_read(sh, &job, vec![id], Micros::ZERO),
+            StoreAnswer::Conflict { .. } => self.send_read(sh, &job, vec![id], Micros::ZERO),
             _ => self.again(sh, site, id, &answer),
         }
     }
@@ -158,16 +196,18 @@
         if matches!(answer, StoreAnswer::Unknown) {
             return self.advance(sh, site, id);
         }
-        let Some(p) = self.pending.get(&id) else { return };
+        let Some(job) = self.pending.get(&id).map(|p| p.job.clone()) else {
+            return;
+        };
         // A read in between costs a request but tells whether the job is known
         // by now; the pause keeps refused nodes from retrying in step.
         let pause = sh.jitter(Micros::from_millis(60));
-        send_read(sh, &p.job.clone(), vec![id], pause);
+        self.send_read(sh, &job, vec![id], pause);
     }
 
     /// A compare or read of the job's own key proved this version (0: there is none), in
     /// a request that was made after these came.
-    fn verified(&mut self, sh: &mut Shared, site: &Site, job: &str, version: u64, ids: Vec<u64>) {
+    fn verified(&mut self, sh: &mut Shared, site: &Site, job: &str, version: u64, ids: Vec<u64>, evidence: &Evidence) {
         if let Some(known) = self.known.get_mut(job) {
             // An end learnt meanwhile is newer than a read that missed it.
             known.checked |= version <= known.version;
@@ -194,17 +234,14 @@
                 // read in this request too.
                 (_, None) => self.to_sync.push(id),
                 (_, Some(phase)) if !phase.is_final() && self.waits(job) => self.to_sync.push(id),
-                (_, Some(phase)) => {
-                    self.pending.remove(&id);
-                    self.answer(sh, id, job, phase, 200);
-                }
+                (_, Some(phase)) => self.answer_by(sh, id, phase, 200, evidence),
             }
         }
     }
 
     /// All news up to a moment after the request came were seen, and its job's own key was
     /// read in it: a job that is still not known was never accepted.
-    fn synced(&mut self, sh: &mut Shared, site: &Site, id: u64) {
+    fn synced(&mut self, sh: &mut Shared, site: &Site, id: u64, evidence: &Evidence) {
         if let Some(pending) = self.pending.get_mut(&id) {
             pending.synced = true;
         }
@@ -213,31 +250,87 @@
         let phase = self.final_phase(&job).or(self.known.get(&job).map(|k| k.phase));
         let repeated = self.known.get(&job).is_none_or(|k| k.repeated);
         if let (true, false, Some(phase)) = (pending.accepted_here, repeated, phase) {
-            // No page accepted it before this node's: nobody was told anything of it yet.
-            self.waits.record(sh.now.since(pending.at));
-            self.pending.remove(&id);
-            return self.answer(sh, id, &job, phase, 201);
+            // No page accepted it before this node's: nobody was told anything of it before the
+            // request came.
+            return self.answer_by(sh, id, phase, 201, evidence);
         }
         match (&pending.ask, phase) {
             // Something before it has yet to be read.
             (_, Some(phase)) if !phase.is_final() && self.chains.stand(&job) == Some(Stand::Unsettled) => {
                 self.to_sync.push(id);
             }
-            (Ask::Poll | Ask::Abort, None) => {
-                self.pending.remove(&id);
-                refuse(sh, id, 404, "no such job");
-            }
+            (Ask::Poll | Ask::Abort, None) => self.refuse_by(sh, id, 404, "no such job", evidence),
             (Ask::Refusable(status, why), None) => {
                 let (status, why) = (*status, why.clone());
-                self.pending.remove(&id);
-                refuse(sh, id, status, &why);
+                self.refuse_by(sh, id, status, &why, evidence);
             }
             (Ask::Submit(_), None) | (Ask::Abort, Some(_)) => self.advance(sh, site, id),
             (_, Some(_)) if self.known.get(&job).is_some_and(|k| !k.checked) => self.advance(sh, site, id),
-            (_, Some(phase)) => {
-                self.pending.remove(&id);
-                self.answer(sh, id, &job, phase, 200);
-            }
+            (_, Some(phase)) => self.answer_by(sh, id, phase, 200, evidence),
+        }
+    }
+
+    /// Answers a request by what the state service said of its job. Evidence that was asked for
+    /// before the request came may be older than what another node told in between: the job's
+    /// own key is compared for it then.
+    pub(super) fn answer_by(&mut self, sh: &mut Shared, id: u64, phase: Phase, status: u16, evidence: &Evidence) {
+        let Some(pending) = self.pending.get(&id) else { return };
+        if !evidence.allows(pending.arrival, phase) {
+            return self.ask_anew(id);
+        }
+        let Some(pending) = self.pending.remove(&id) else {
+            return;
+        };
+        if status == 201 {
+            self.waits.record(sh.now.since(pending.at));
+        }
+        self.answer(sh, id, &pending.job, phase, status, evidence);
+    }
+
+    /// The same of a job that was never accepted.
+    fn refuse_by(&mut self, sh: &mut Shared, id: u64, status: u16, why: &str, evidence: &Evidence) {
+        let Some(pending) = self.pending.get(&id) else { return };
+        if !evidence.covers(pending.arrival) {
+            return self.ask_anew(id);
         }
+        let Evidence { source, revision, .. } = evidence;
+        tracing::debug!(job = pending.job, status, why, ?source, revision, "refused");
+        self.pending.remove(&id);
+        refuse(sh, id, status, why);
+    }
+
+    /// The evidence at hand is older than the request: its job is compared for it.
+    fn ask_anew(&mut self, id: u64) {
+        let Some(pending) = self.pending.get(&id) else { return };
+        tracing::debug!(job = pending.job, "the evidence is older than the request: asked anew");
+        self.asked_anew += 1;
+        self.to_verify.entry(pending.job.clone()).or_default().push(id);
+    }
+
+    /// Tells a user how the job is. Whether the evidence is new enough was looked at.
+    pub(super) fn answer(
+        &mut self,
+        sh: &mut Shared,
+        id: u64,
+        job: &str,
+        phase: Phase,
+        status: u16,
+        evidence: &Evidence,
+    ) {
+        let Evidence { source, revision, .. } = evidence;
+        tracing::debug!(job, status, ?phase, ?source, revision, "answered");
+        *self.answered.entry(*source).or_default() += 1;
+        let (done, running) = self.counts.get(job).copied().unwrap_or((0, 0));
+        let state = JobState {
+            id: job.to_string(),
+            phase: match phase {
+                Phase::Pending | Phase::Running if running > 0 => Phase::Running,
+                Phase::Running => Phase::Pending,
+                other => other,
+            },
+            done: (!phase.is_final()).then_some(done),
+            running: (!phase.is_final()).then_some(running),
+        };
+        sh.reply(id, status, to_cbor(&state), None);
     }
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -679,6 +679,10 @@
                 let (open, pages) = self.desk.pages();
                 tracing::debug!(?waited, open, pages, "accepted");
             }
+            let (answered, asked_anew) = self.desk.take_answered();
+            if !answered.is_empty() {
+                tracing::info!(?answered, asked_anew, "answers, by what they rested on");
+            }
             let refused = self.desk.take_refusals();
             if !refused.is_empty() {
                 let (open, pages) = self.desk.pages();
