Placement: rules of where a job may run, room on machines and preemption in modules of their own

Change: placement/rules.rs, rooms.rs and preemption.rs; functions were moved whole, nothing else changed.

--- /dev/null
+++ b/src/coordination/placement/preemption.rs
@@ -0,0 +1,194 @@
+//! Stops work to make room for work that comes before it.
+
+use super::super::book::{Job, Leader, MachineId, Placement, Stage};
+use super::super::{JobId, Site};
+use super::rooms::Room;
+use super::rules::{allowed, takes_leftovers};
+use super::{Pass, EPS};
+use crate::protocol::users::{Priority, Spec};
+use crate::time::Micros;
+use std::collections::BTreeSet;
+
+/// Only what has run for less than this is stopped for a guarantee: older work
+/// loses more than the guarantee gains, and room falls idle soon enough.
+const YOUNG: Micros = Micros::from_millis(4000);
+
+impl Leader {
+    /// Stops work to make room for production, and for work within its team's
+    /// guarantee, unless room is being made already. What was started last is
+    /// stopped first: it loses the least.
+    pub(super) fn make_room(&mut self, pass: &mut Pass, site: &Site, id: &JobId, within: &BTreeSet<JobId>) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let spec = job.spec.clone();
+        let priority = job.priority;
+        let (max_cpus, max_gpus) = site.limits(&spec.team);
+        let held = pass.held.get(&spec.team).copied().unwrap_or_default();
+        let mut wanted = job.waiting.len().min(64);
+        let mut victims: Vec<(JobId, u32)> = vec![];
+        if held.0 + spec.cpus > max_cpus + EPS || held.1 + spec.gpus > max_gpus + EPS {
+            // Only its own team's work stands in the way.
+            if priority == Priority::Production {
+                let fits = |r: &Room| r.fits(&spec) && self.allows(&spec, r);
+                pass.looks += pass.rooms.len();
+                if pass.rooms.iter().any(fits) {
+                    victims = self.own_victims(&spec, priority, wanted);
+                }
+            }
+        } else {
+            let guaranteed = within.contains(id);
+            let first: BTreeSet<usize> = match self.image_at.get(spec.image.as_str()) {
+                Some(at) if job.is_service() => at
+                    .iter()
+                    .filter_map(|name| self.machines.get(name).and_then(|m| m.room))
+                    .collect(),
+                _ => BTreeSet::new(),
+            };
+            let rest = (0..pass.rooms.len()).filter(|i| !first.contains(i));
+            for i in first.iter().copied().chain(rest) {
+                if wanted == 0 {
+                    break;
+                }
+                pass.looks += 1;
+                if !self.allows(&spec, &pass.rooms[i]) || job.failed_on.contains(&pass.rooms[i].name) {
+                    continue;
+                }
+                let room = &mut pass.rooms[i];
+                let mut lower = self.victims(&room.name, |j, p| {
+                    // What is stopped must still be done in its time.
+                    let spare = priority == Priority::Production
+                        || pass.now.since(p.since) < YOUNG
+                        || takes_leftovers(site, j, pass.now);
+                    (j.priority < priority && spare)
+                        || (guaranteed
+                            && pass.now.since(p.since) < YOUNG
+                            && j.priority <= priority
+                            && j.spec.team != spec.team
+                            && !within.contains(&j.id)
+                            && pass.excess.get(&j.spec.team).copied().unwrap_or(0.0) >= j.spec.cpus)
+                });
+                lower.reverse();
+                while wanted > 0 {
+                    let mut chosen = vec![];
+                    while !room.fits(&spec) {
+                        let Some(victim) = lower.pop() else { break };
+                        room.cpus += victim.takes.0;
+                        room.gpus += victim.takes.1;
+                        room.memory += victim.takes.2;
+                        if victim.fresh {
+                            *pass.excess.entry(victim.team).or_default() -= victim.takes.0;
+                            chosen.push((victim.job, victim.task));
+                        }
+                    }
+                    if !room.fits(&spec) {
+                        break;
+                    }
+                    room.cpus -= spec.cpus;
+                    room.gpus -= spec.gpus;
+                    room.memory -= spec.memory;
+                    wanted -= 1;
+                    victims.extend(chosen);
+                }
+            }
+        }
+        for (job, task) in victims {
+            tracing::debug!(job = %job, task, for_job = %id, "stopped to make room");
+            let grace = self.jobs.get(&job).map_or(0.0, |j| j.spec.save_s * 1.2);
+            self.stop(&job, task, grace, pass.now);
+        }
+    }
+
+    /// Whether a job's tasks may run there.
+    pub(super) fn allows(&self, spec: &Spec, room: &Room) -> bool {
+        let k = &self.kinds[room.kind];
+        allowed(spec, &k.machine_type, &k.zone, k.spot)
+    }
+
+    /// Tasks on a machine that may be stopped: those already asked to, then the
+    /// lowest and youngest.
+    pub(super) fn victims(&self, machine: &MachineId, may: impl Fn(&Job, &Placement) -> bool) -> Vec<Victim> {
+        let Some(m) = self.machines.get(machine) else {
+            return vec![];
+        };
+        let mut list = vec![];
+        for (id, task) in &m.tasks {
+            let Some(job) = self.jobs.get(id) else { continue };
+            let Some(p) = job.placed.get(task) else { continue };
+            if p.stop.is_some() || (!matches!(p.stage, Stage::Exited(_)) && may(job, p)) {
+                list.push(Victim {
+                    fresh: p.stop.is_none(),
+                    priority: job.priority,
+                    since: p.since,
+                    team: job.spec.team.clone(),
+                    job: id.clone(),
+                    task: *task,
+                    takes: (job.spec.cpus, job.spec.gpus, job.spec.memory),
+                });
+            }
+        }
+        list.sort_by_key(|v| (v.fresh, v.priority, std::cmp::Reverse(v.since)));
+        list
+    }
+
+    /// Work of lower priority of the job's own team, where the team's limit is
+    /// what the job waits for.
+    pub(super) fn own_victims(&self, spec: &Spec, priority: Priority, wanted: usize) -> Vec<(JobId, u32)> {
+        let mut list: Vec<Victim> = self
+            .machines
+            .keys()
+            .flat_map(|m| self.victims(m, |j, _| j.priority < priority))
+            .filter(|v| v.team == spec.team)
+            .collect();
+        list.sort_by_key(|v| (v.fresh, v.priority, std::cmp::Reverse(v.since)));
+        let mut missing = spec.cpus * wanted as f64;
+        let mut chosen = vec![];
+        for v in list {
+            if missing <= EPS {
+                break;
+            }
+            missing -= v.takes.0;
+            if v.fresh {
+                chosen.push((v.job, v.task));
+            }
+        }
+        chosen
+    }
+
+    /// Whether a machine that has the service's image could take it if work of
+    /// lower priority stopped: faster than fetching the image elsewhere.
+    pub(super) fn better_to_stop(&self, rooms: &[Room], job: &Job) -> bool {
+        let spec = &job.spec;
+        let Some(at) = self.image_at.get(spec.image.as_str()) else {
+            return false;
+        };
+        at.iter().filter_map(|name| self.machines.get(name)).any(|m| {
+            let Some(room) = m.room.map(|i| &rooms[i]).filter(|r| self.allows(spec, r)) else {
+                return false;
+            };
+            let (mut cpus, mut gpus, mut memory) = (room.cpus, room.gpus, room.memory);
+            for (id, task) in &m.tasks {
+                let Some(other) = self.jobs.get(id) else { continue };
+                let Some(p) = other.placed.get(task) else { continue };
+                let lower = other.priority < job.priority && !matches!(p.stage, Stage::Exited(_));
+                if p.stop.is_some() || lower {
+                    cpus += other.spec.cpus;
+                    gpus += other.spec.gpus;
+                    memory += other.spec.memory;
+                }
+            }
+            cpus + EPS >= spec.cpus && gpus + EPS >= spec.gpus && memory + EPS >= spec.memory
+        })
+    }
+}
+
+/// A task that may be stopped to make room.
+pub(super) struct Victim {
+    /// Not yet asked to stop.
+    fresh: bool,
+    priority: Priority,
+    since: Micros,
+    team: String,
+    job: JobId,
+    task: u32,
+    /// CPUs, GPUs and memory it gives back.
+    takes: (f64, f64, f64),
+}
