--- a/crates/lab/src/controllers.rs
+++ b/crates/lab/src/controllers.rs
@@ -4,13 +4,11 @@
 use crate::experiment::Experiment;
 use crate::fleet::teams;
 use crate::lab::{node_name, Addresses};
+use rustix::process::{Pid, Signal};
 use serde::Serialize;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
-/// Machines stay although they are idle, so that their number is the experiment's: the
-/// longest time that the operators' file takes.
-const OPERATOR_FILE: &str = "((idle-s . 3600.0))\n";
 /// What each controller is told that it may take.
 const CPU: f64 = 1.0;
 const MEMORY_MB: f64 = 512.0;
@@ -56,6 +54,8 @@
     name: String,
     cpus: f64,
     cpus_max: f64,
+    gpus: f64,
+    gpus_max: f64,
 }
 
 #[derive(Serialize)]
@@ -93,12 +93,17 @@
     let peer = |other: usize| PeerTable {
         node: node_name(other),
         zone: experiment.zone_of(other).into(),
-        addr: addresses.peer(other).to_string(),
+        addr: match experiment.controllers.forwarded {
+            true => addresses.forwarder(node, other).to_string(),
+            false => addresses.peer(other).to_string(),
+        },
     };
     let team = |team: glenhaven::settings::Team| TeamTable {
         name: team.name,
         cpus: team.cpus,
         cpus_max: team.cpus_max,
+        gpus: team.gpus,
+        gpus_max: team.gpus_max,
     };
     SettingsFile {
         node: node_name(node),
@@ -145,6 +150,8 @@
     dir: PathBuf,
     log_level: String,
     children: Vec<Option<Child>>,
+    /// Processes started so far.
+    pub lives: usize,
 }
 
 impl Controllers {
@@ -165,7 +172,10 @@
             source,
         })?;
         let operator_file = dir.join("operator.scm");
-        write(&operator_file, OPERATOR_FILE)?;
+        write(
+            &operator_file,
+            &format!("((idle-s . {:?}))\n", experiment.controllers.idle_s),
+        )?;
         for node in 0..experiment.controllers.count {
             let path = dir.join(format!("{}.toml", node_name(node)));
             let text =
@@ -180,6 +190,7 @@
             dir,
             log_level: experiment.controllers.log_level.clone(),
             children: (0..experiment.controllers.count).map(|_| None).collect(),
+            lives: 0,
         })
     }
 
@@ -203,6 +214,7 @@
             .append(true)
             .open(&log)
             .map_err(unwritable)?;
+        self.lives += 1;
         let child = Command::new(&self.program)
             .arg("--config")
             .arg(self.dir.join(format!("{}.toml", node_name(node))))
@@ -229,6 +241,17 @@
         true
     }
 
+    /// Lets a controller stand still, or go on.
+    pub fn pause(&mut self, node: usize, paused: bool) {
+        let signal = if paused { Signal::STOP } else { Signal::CONT };
+        let pid = self.children[node]
+            .as_ref()
+            .and_then(|child| Pid::from_raw(child.id() as i32));
+        if let Some(pid) = pid {
+            rustix::process::kill_process(pid, signal).ok();
+        }
+    }
+
     /// The processes that run: number and process id.
     pub fn running(&self) -> Vec<(usize, u32)> {
         let children = self.children.iter().enumerate();
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -40,6 +40,12 @@
     pub sockets: u32,
     #[serde(default = "info")]
     pub log_level: String,
+    /// How long a machine is idle before it is returned. So long by default that machines stay.
+    #[serde(default = "longest_idle")]
+    pub idle_s: f64,
+    /// Whether links between controllers go through the emulator, so that they can fail.
+    #[serde(default)]
+    pub forwarded: bool,
 }
 
 /// The state service's and the cloud's limits.
@@ -60,6 +66,8 @@
 pub struct Workers {
     pub count: usize,
     pub cpus: f64,
+    #[serde(default)]
+    pub gpus: f64,
     pub memory_gb: f64,
     pub report_s: f64,
     pub lease_s: f64,
@@ -77,6 +85,11 @@
     pub cpus: f64,
     /// 0: no limit.
     pub cpus_max: f64,
+    /// The same of GPUs.
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
 }
 
 /// Jobs that come again and again, each for the next team.
@@ -99,6 +112,22 @@
     /// A user cancels so large a share of the jobs.
     #[serde(default)]
     pub cancelled: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    /// How long a stopped task saves; 0: it loses its work.
+    #[serde(default)]
+    pub save_s: f64,
+    #[serde(default)]
+    pub image_gb: Option<f64>,
+    /// The only zone that it may run in.
+    #[serde(default)]
+    pub zone: Option<String>,
+    /// All tasks of a job in one zone.
+    #[serde(default)]
+    pub one_zone: bool,
+    /// At most half of them in one.
+    #[serde(default)]
+    pub spread: bool,
 }
 
 /// What happens at a moment.
@@ -145,6 +174,10 @@
     true
 }
 
+fn longest_idle() -> f64 {
+    3600.0
+}
+
 fn info() -> String {
     "info".into()
 }
@@ -170,7 +203,8 @@
         Ok(experiment)
     }
 
-    fn check(&self) -> Result<(), String> {
+    /// Whether the numbers make sense together.
+    pub fn check(&self) -> Result<(), String> {
         let within = |name: &str, value: usize, most: usize| match (1..=most).contains(&value) {
             true => Ok(()),
             false => Err(format!("{name}: {value} is not between 1 and {most}")),
@@ -184,6 +218,7 @@
             false => Err(format!("{name}: {value} is not a positive number")),
         };
         positive("duration_s", self.duration_s)?;
+        positive("controllers.idle_s", self.controllers.idle_s)?;
         positive("services.cloud_rps", self.services.cloud_rps)?;
         positive("workers.report_s", self.workers.report_s)?;
         positive("workers.lease_s", self.workers.lease_s)?;
--- /dev/null
+++ b/crates/lab/src/faults.rs
@@ -0,0 +1,224 @@
+//! Links that fail: which messages are held back, refused, executed late, or lose their answer.
+//!
+//! A link has a direction. A fault on it may concern some of the machines only; which ones is
+//! decided by their names, so that it is the same ones for as long as the fault lasts.
+
+use async_io::Timer;
+use event_listener::Event;
+use futures_lite::FutureExt;
+use serde::{Deserialize, Serialize};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// One end of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Party {
+    /// A controller, by its number.
+    Node(usize),
+    /// The controller that leads when the trouble begins.
+    Leader,
+    State,
+    Cloud,
+    Workers,
+    /// Whoever sends commands straight to machines.
+    Direct,
+    Users,
+}
+
+/// A link in one direction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    pub from: Party,
+    pub to: Party,
+}
+
+impl Route {
+    /// The link from one to the other.
+    pub fn between(from: Party, to: Party) -> Route {
+        Route { from, to }
+    }
+
+    /// The same link in the other direction.
+    pub fn back(self) -> Route {
+        Route::between(self.to, self.from)
+    }
+}
+
+/// What is wrong with a link.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "fault", rename_all = "snake_case")]
+pub enum LinkFault {
+    /// Nothing passes; what was sent is delivered, in order, when the fault is over.
+    Cut,
+    /// Everything takes so much longer.
+    Slow { delay_ms: u64 },
+    /// This share of the requests is refused.
+    Refuses { share: f64 },
+    /// On this share of the messages the connection is closed instead.
+    Resets { share: f64 },
+    /// This share of the requests is executed, and the answer is lost.
+    LosesAnswers { share: f64 },
+    /// This share of the requests is executed late, and never answered.
+    Late { share: f64, least_s: f64, most_s: f64 },
+    /// Of this share of the messages a copy arrives again later.
+    Copies { share: f64, least_s: f64, most_s: f64 },
+}
+
+/// What becomes of one message.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fate {
+    Deliver,
+    Refuse,
+    Reset,
+    LoseAnswer,
+    Late(Duration),
+}
+
+/// A fault with its link and its end.
+struct Active {
+    route: Route,
+    /// The share of the machines that are concerned.
+    hosts: f64,
+    fault: LinkFault,
+    until: Instant,
+}
+
+impl Active {
+    fn concerns(&self, route: &Route, host: &str) -> bool {
+        self.route == *route && Instant::now() < self.until && (host.is_empty() || place(host) < self.hosts)
+    }
+}
+
+/// A number from 0 to 1 that belongs to a name (FNV-1a).
+fn place(name: &str) -> f64 {
+    let hash = name.bytes().fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    (hash >> 11) as f64 / (1u64 << 53) as f64
+}
+
+struct State {
+    active: Vec<Active>,
+    rng: fastrand::Rng,
+}
+
+/// The faults of an experiment.
+pub struct Faults {
+    state: Mutex<State>,
+    changed: Event,
+}
+
+impl Faults {
+    /// No faults yet.
+    pub fn new(seed: u64) -> Faults {
+        let state = State {
+            active: vec![],
+            rng: fastrand::Rng::with_seed(seed),
+        };
+        Faults {
+            state: Mutex::new(state),
+            changed: Event::new(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A fault begins.
+    pub fn begin(&self, route: Route, hosts: f64, fault: LinkFault, lasts: Duration) {
+        let until = Instant::now() + lasts;
+        let mut state = self.state();
+        state.active.retain(|active| Instant::now() < active.until);
+        state.active.push(Active {
+            route,
+            hosts,
+            fault,
+            until,
+        });
+        drop(state);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// All faults are over.
+    pub fn end(&self) {
+        self.state().active.clear();
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Until when messages are held back.
+    fn held_until(&self, route: &Route, host: &str) -> Option<Instant> {
+        let state = self.state();
+        let cuts = state.active.iter().filter(|active| active.fault == LinkFault::Cut);
+        cuts.filter(|cut| cut.concerns(route, host)).map(|cut| cut.until).max()
+    }
+
+    /// Whether messages are held back.
+    pub fn is_held(&self, route: &Route, host: &str) -> bool {
+        self.held_until(route, host).is_some()
+    }
+
+    /// Waits until a message gets through.
+    pub async fn passes(&self, route: &Route, host: &str) {
+        let delay = self.delay(route, host);
+        if !delay.is_zero() {
+            Timer::after(delay).await;
+        }
+        loop {
+            let changed = self.changed.listen();
+            let Some(until) = self.held_until(route, host) else {
+                return;
+            };
+            let over = async {
+                Timer::at(until).await;
+            };
+            changed.or(over).await;
+        }
+    }
+
+    fn delay(&self, route: &Route, host: &str) -> Duration {
+        let mut state = self.state();
+        let State { active, rng } = &mut *state;
+        let slow = active.iter().filter_map(|active| match active.fault {
+            LinkFault::Slow { delay_ms } if active.concerns(route, host) => Some(delay_ms),
+            _ => None,
+        });
+        let most = slow.max().unwrap_or(0);
+        Duration::from_micros((most as f64 * 1000.0 * rng.f64()) as u64)
+    }
+
+    /// What becomes of a message that got through.
+    pub fn fate(&self, route: &Route, host: &str) -> Fate {
+        let mut state = self.state();
+        let State { active, rng } = &mut *state;
+        for active in active.iter().filter(|active| active.concerns(route, host)) {
+            let (share, fate) = match active.fault {
+                LinkFault::Refuses { share } => (share, Fate::Refuse),
+                LinkFault::Resets { share } => (share, Fate::Reset),
+                LinkFault::LosesAnswers { share } => (share, Fate::LoseAnswer),
+                LinkFault::Late { share, least_s, most_s } => (share, Fate::Late(between(rng, least_s, most_s))),
+                LinkFault::Cut | LinkFault::Slow { .. } | LinkFault::Copies { .. } => continue,
+            };
+            if rng.f64() < share {
+                return fate;
+            }
+        }
+        Fate::Deliver
+    }
+
+    /// How long after a message its copy arrives, if there is one.
+    pub fn copies(&self, route: &Route, host: &str) -> Option<Duration> {
+        let mut state = self.state();
+        let State { active, rng } = &mut *state;
+        let mut concerned = active.iter().filter(|active| active.concerns(route, host));
+        concerned.find_map(|active| match active.fault {
+            LinkFault::Copies { share, least_s, most_s } if rng.f64() < share => Some(between(rng, least_s, most_s)),
+            _ => None,
+        })
+    }
+}
+
+fn between(rng: &mut fastrand::Rng, least_s: f64, most_s: f64) -> Duration {
+    crate::experiment::seconds(least_s + (most_s - least_s) * rng.f64())
+}
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,13 +1,14 @@
 //! Machines and jobs of an experiment, and the rules that are checked on them.
 
 use crate::experiment::Experiment;
+use crate::history::History;
 use async_channel::Sender;
 use glenhaven::protocol::cloud::MachineType;
 use glenhaven::settings::Team;
 use glenhaven_standins::cloud::Cloud;
 use glenhaven_standins::rules::Rules;
 use glenhaven_standins::user::User;
-use glenhaven_standins::worker::Worker;
+use glenhaven_standins::worker::{Executed, Worker};
 use glenhaven_standins::SEC;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -45,6 +46,8 @@
     /// Zones in which no machine can be rented just now.
     pub zones_out: BTreeSet<String>,
     pub terms: Vec<FirstOfTerm>,
+    /// What happened last, for the report of a break.
+    pub history: History,
     next_request: u64,
 }
 
@@ -55,7 +58,7 @@
     MachineType {
         name: MACHINE_TYPE.into(),
         cpus: workers.cpus,
-        gpus: 0.0,
+        gpus: workers.gpus,
         memory: workers.memory_gb,
         cache_gb: CACHE_GB,
         fetch_gb_per_s: FETCH_GB_PER_S,
@@ -72,7 +75,8 @@
         name: format!("team-{n:03}"),
         cpus: experiment.teams.cpus,
         cpus_max: experiment.teams.cpus_max,
-        ..Team::default()
+        gpus: experiment.teams.gpus,
+        gpus_max: experiment.teams.gpus_max,
     };
     (0..experiment.teams.count).map(team).collect()
 }
@@ -95,6 +99,7 @@
             rng: fastrand::Rng::with_seed(experiment.seed),
             zones_out: BTreeSet::new(),
             terms: vec![],
+            history: History::default(),
             next_request: 0,
         }
     }
@@ -107,6 +112,7 @@
 
     /// The machine and everything on it is gone.
     pub fn machine_dies(&mut self, now: u64, name: &str) {
+        self.history.note(now, || format!("{name} is gone"));
         self.cloud.gone(now, name);
         if let Some(worker) = self.workers.get_mut(name) {
             worker.dies();
@@ -125,10 +131,32 @@
     /// A worker took an answer with this token.
     pub fn saw_fence(&mut self, now: u64, fence: u64) {
         if self.terms.last().is_none_or(|last| fence > last.fence) {
+            self.history.note(now, || format!("the first worker has token {fence}"));
             self.terms.push(FirstOfTerm { fence, at: now });
         }
     }
 
+    /// A worker has executed orders: what they began is looked at.
+    pub fn orders_executed(&mut self, now: u64, machine: &str, fence: u64, executed: &Executed) {
+        self.rules.stops += executed.stops;
+        for (task, attempt) in &executed.taken {
+            self.history.note(now, || {
+                format!("{machine} takes {task} attempt {attempt} token {fence}")
+            });
+            self.rules.start_taken(now, task, &self.workers, &self.users);
+        }
+        for (task, attempt) in &executed.forgotten {
+            self.history.note(now, || {
+                format!("{machine} forgets {task} attempt {attempt} token {fence}")
+            });
+        }
+        for (task, attempt) in &executed.taken_again {
+            let text =
+                format!("started_again: {machine} takes {task} attempt {attempt}, which it had forgotten, at {now}");
+            self.rules.broken.push(text);
+        }
+    }
+
     /// What holds at every moment is looked at.
     pub fn look(&mut self, now: u64) {
         self.rules.look(now, &self.workers, &self.users);
--- a/crates/lab/src/lab.rs
+++ b/crates/lab/src/lab.rs
@@ -3,6 +3,7 @@
 use crate::controllers::Controllers;
 use crate::errors::LabError;
 use crate::experiment::Experiment;
+use crate::faults::Faults;
 use crate::fleet::Fleet;
 use async_executor::Executor;
 use event_listener::Event;
@@ -24,6 +25,8 @@
 const CONTROLLERS: u8 = 0;
 const STATE: u8 = 1;
 const CLOUD: u8 = 2;
+/// Of the forwarders, this and one more for each controller that sends through them.
+const FORWARDERS: usize = 3;
 const MACHINES: u64 = 16;
 /// Machines that share the third part of their addresses.
 const MACHINES_IN_A_NET: u64 = 250;
@@ -56,6 +59,12 @@
         self.at(CONTROLLERS, node, PEER_PORT)
     }
 
+    /// Where a controller finds another one whose links go through the emulator.
+    pub fn forwarder(self, from: usize, to: usize) -> SocketAddr {
+        let third = u8::try_from(FORWARDERS + from).unwrap_or(u8::MAX);
+        self.at(third, to, PEER_PORT)
+    }
+
     /// Where a controller finds the state service.
     pub fn state(self, node: usize) -> SocketAddr {
         self.at(STATE, node, STATE_PORT)
@@ -132,6 +141,8 @@
     pub controllers: Mutex<Controllers>,
     store: Mutex<Store>,
     fleet: Mutex<Fleet>,
+    /// Which links fail just now.
+    pub faults: Faults,
     /// The state service has changed.
     pub store_changed: Event,
     began: Instant,
@@ -162,6 +173,7 @@
             controllers: Mutex::new(controllers),
             store: Mutex::new(store),
             fleet: Mutex::new(Fleet::new(&experiment)),
+            faults: Faults::new(experiment.seed),
             store_changed: Event::new(),
             began: Instant::now(),
             stopped: Mutex::new(None),
@@ -195,6 +207,12 @@
         self.nodes.iter().position(|node| node.name == leader)
     }
 
+    /// Something happens that the history keeps.
+    pub fn note(&self, event: impl FnOnce() -> String) {
+        let now = self.now();
+        self.fleet().history.note(now, event);
+    }
+
     /// Ends the experiment before its time.
     pub fn stop(&self, why: LabError) {
         lock(&self.stopped).get_or_insert(why);
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -24,7 +24,8 @@
 pub struct Numbers(AtomicU64);
 
 impl Numbers {
-    fn next(&self) -> u64 {
+    /// The next number.
+    pub fn next(&self) -> u64 {
         self.0.fetch_add(1, Ordering::Relaxed) + 1
     }
 }
@@ -50,7 +51,8 @@
     }
 }
 
-fn spec(lab: &Lab, load: &Load, number: u64) -> Spec {
+/// The job with this number.
+pub fn spec(lab: &Lab, load: &Load, number: u64) -> Spec {
     let teams = teams(&lab.experiment);
     let team = &teams[number as usize % teams.len()];
     let high = matches!(load.priority, Priority::High | Priority::Production);
@@ -63,8 +65,14 @@
         cpus: load.cpus,
         memory: MEMORY_GB,
         image: format!("img-{}", load.class),
-        image_gb: if high { 0.0 } else { IMAGE_GB },
+        image_gb: load.image_gb.unwrap_or(if high { 0.0 } else { IMAGE_GB }),
         estimate_s: load.run_s,
+        gpus: load.gpus,
+        save_s: load.save_s,
+        checkpoint_s: load.save_s,
+        zone: load.zone.clone(),
+        one_zone: load.one_zone,
+        spread: load.spread,
         ..plain_spec(&format!("run-{number:06}"))
     }
 }
--- a/crates/lab/src/machines.rs
+++ b/crates/lab/src/machines.rs
@@ -1,5 +1,6 @@
 //! Machines: each a worker that reports to a controller and takes direct commands.
 
+use crate::faults::{Fate, Party, Route};
 use crate::fleet::{Fleet, Link, MACHINE_TYPE};
 use crate::lab::{Lab, Side};
 use crate::server;
@@ -123,7 +124,17 @@
         let fleet = &mut *fleet;
         let now = self.lab.now();
         let worker = fleet.workers.get_mut(&self.name).filter(|w| w.up)?;
-        fleet.rules.lease_kills += worker.expire_lease(now, lease).unwrap_or(0);
+        if now < worker.hangs_until {
+            return Some((None, Duration::from_micros(worker.hangs_until - now)));
+        }
+        let expired = worker.expire_lease(now, lease);
+        if expired.is_some() {
+            let session = worker.session();
+            fleet
+                .history
+                .note(now, || format!("{} begins session {session}", self.name));
+        }
+        fleet.rules.lease_kills += expired.unwrap_or(0);
         let progress = worker.run_tasks(now, &fleet.users, &mut fleet.results);
         fleet.rules.failures += progress.failures;
         let node = worker.node;
@@ -133,7 +144,10 @@
             worker.report_next(now + (settings.report_s * part * SEC as f64) as u64);
         }
         let pause = worker.wakes_at(now, lease).saturating_sub(now);
-        for (task, _) in &progress.started {
+        for (task, attempt) in &progress.started {
+            fleet
+                .history
+                .note(now, || format!("{} runs {task} attempt {attempt}", self.name));
             fleet.rules.started(now, &self.name, task, &fleet.workers, &fleet.users);
             fleet.rules.started_in_order(task, &fleet.users, &fleet.results);
         }
@@ -152,8 +166,8 @@
                 path: "/hello".into(),
                 body: to_cbor(&outgoing.report),
             };
-            let exchange = exchange(&self.lab, kept, node, Side::Workers, &request);
-            let answered = within(ANSWER, exchange).await;
+            self.copy_later(node, &request);
+            let answered = within(ANSWER, self.exchange_report(kept, node, &request)).await;
             let answer = answered.map(|(kept, response)| {
                 connection = kept.map(|c| (node, c));
                 response
@@ -162,6 +176,52 @@
         }
     }
 
+    /// Sends a report over a link that may fail, and takes its answer. A report that is held
+    /// back arrives later, though nobody waits for the answer any more.
+    async fn exchange_report(
+        &self,
+        kept: Option<Connection>,
+        node: usize,
+        request: &Request,
+    ) -> Option<(Option<Connection>, Response)> {
+        let there = Route::between(Party::Workers, Party::Node(node));
+        let faults = &self.lab.faults;
+        if faults.is_held(&there, &self.name) {
+            let (machine, request) = (self.clone(), request.clone());
+            let late = async move {
+                machine.lab.faults.passes(&there, &machine.name).await;
+                within(ANSWER, exchange(&machine.lab, None, node, Side::Workers, &request)).await;
+            };
+            self.lab.executor.spawn(late).detach();
+            return std::future::pending().await;
+        }
+        faults.passes(&there, &self.name).await;
+        if faults.fate(&there, &self.name) == Fate::Reset {
+            return None;
+        }
+        let answer = exchange(&self.lab, kept, node, Side::Workers, request).await;
+        faults.passes(&there.back(), &self.name).await;
+        match faults.fate(&there.back(), &self.name) {
+            Fate::Deliver => answer,
+            _ => None,
+        }
+    }
+
+    /// A copy of a report may arrive again much later, at any controller.
+    fn copy_later(&self, node: usize, request: &Request) {
+        let there = Route::between(Party::Workers, Party::Node(node));
+        let Some(after) = self.lab.faults.copies(&there, &self.name) else {
+            return;
+        };
+        let (lab, request) = (self.lab.clone(), request.clone());
+        let to = lab.fleet().rng.usize(0..lab.nodes.len());
+        let copy = async move {
+            Timer::after(after).await;
+            within(ANSWER, exchange(&lab, None, to, Side::Workers, &request)).await;
+        };
+        self.lab.executor.spawn(copy).detach();
+    }
+
     /// What came of a report.
     fn answered(&self, rid: u64, answer: Option<Response>) {
         let nodes = self.lab.nodes.len();
@@ -171,14 +231,17 @@
         let Some(worker) = fleet.workers.get_mut(&self.name).filter(|w| w.up) else {
             return;
         };
+        // A machine that hangs reads its answer when it goes on, too late.
+        let answer = answer.filter(|_| now >= worker.hangs_until);
         let Some((_, sent, session)) = worker.flying.filter(|flying| flying.0 == rid) else {
             return;
         };
         worker.flying = None;
         match read_answer(answer) {
             Answer::Orders(orders) if worker.accepts(orders.fence, session) => {
-                fleet.rules.stops += worker.take_orders(now, sent, &orders, &fleet.users).stops;
+                let executed = worker.take_orders(now, sent, &orders, &fleet.users);
                 fleet.saw_fence(now, orders.fence);
+                fleet.orders_executed(now, &self.name, orders.fence, &executed);
             }
             Answer::Orders(_) => {}
             Answer::Elsewhere(to) => {
@@ -200,14 +263,41 @@
     }
 
     async fn serve_direct(self, mut connection: Connection) {
+        let there = Route::between(Party::Direct, Party::Workers);
         while let Ok(Some(request)) = connection.read_request().await {
+            self.lab.faults.passes(&there, &self.name).await;
+            let fate = self.lab.faults.fate(&there, &self.name);
+            match fate {
+                Fate::Reset | Fate::Refuse => return,
+                Fate::Late(after) => {
+                    Timer::after(after).await;
+                }
+                Fate::Deliver | Fate::LoseAnswer => {}
+            }
+            self.goes_on().await;
             let Some(response) = self.direct(&request) else { return };
+            self.lab.faults.passes(&there.back(), &self.name).await;
+            if fate != Fate::Deliver || self.lab.faults.fate(&there.back(), &self.name) != Fate::Deliver {
+                return;
+            }
             if connection.write_response(&response).await.is_err() {
                 return;
             }
         }
     }
 
+    /// Waits until the machine hangs no longer.
+    async fn goes_on(&self) {
+        loop {
+            let now = self.lab.now();
+            let until = self.lab.fleet().workers.get(&self.name).map_or(0, |w| w.hangs_until);
+            if now >= until {
+                return;
+            }
+            Timer::after(Duration::from_micros(until - now)).await;
+        }
+    }
+
     /// Answers a request that came straight to the machine; nothing if it is gone.
     fn direct(&self, request: &Request) -> Option<Response> {
         let mut fleet = self.lab.fleet();
@@ -222,7 +312,7 @@
                 };
                 match worker.take_direct(now, &body, &fleet.users) {
                     Some(executed) => {
-                        fleet.rules.stops += executed.stops;
+                        fleet.orders_executed(now, &self.name, body.fence, &executed);
                         200
                     }
                     None => 409,
@@ -230,7 +320,7 @@
             }
             _ => return Some(Response::new(404, vec![])),
         };
-        let report = worker.report(now);
+        let report = fleet.workers.get_mut(&self.name)?.report(now);
         poke(fleet, &self.name);
         Some(Response::new(status, to_cbor(&report)))
     }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,7 +6,10 @@
 mod controllers;
 mod errors;
 mod experiment;
+mod faults;
 mod fleet;
+mod forward;
+mod history;
 mod injections;
 mod lab;
 mod load;
@@ -17,6 +20,7 @@
 mod samples;
 mod scale;
 mod server;
+mod soak;
 mod state_service;
 mod users;
 
@@ -49,6 +53,9 @@
         #[arg(long, value_name = "DIR")]
         report: Option<PathBuf>,
     },
+    /// Plays plans of randomized troubles, one for each seed. Ends with 0 if everything held, 1 if
+    /// something was broken, 2 if a plan could not be played and 130 if it was interrupted.
+    Soak(soak::SoakArgs),
 }
 
 /// The exit status of an experiment in which a rule was broken.
@@ -60,19 +67,24 @@
         .with_ansi(false)
         .with_writer(std::io::stderr)
         .init();
-    let Subcommands::Scale {
-        experiment,
-        controllers,
-        report,
-    } = Args::parse().command;
-    match scale::run(&experiment, &controllers, report) {
-        Ok(report) => {
+    let ended = match Args::parse().command {
+        Subcommands::Scale {
+            experiment,
+            controllers,
+            report,
+        } => scale::run(&experiment, &controllers, report).map(|report| {
             println!("{}", report.summary());
-            match report.holds() {
-                true => ExitCode::SUCCESS,
-                false => ExitCode::from(RULES_BROKEN),
-            }
-        }
+            report.holds()
+        }),
+        Subcommands::Soak(args) => soak::run(&args).map(|outcomes| {
+            let failed = outcomes.iter().filter(|outcome| !outcome.holds()).count();
+            println!("{} of {} plans held", outcomes.len() - failed, outcomes.len());
+            failed == 0
+        }),
+    };
+    match ended {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(RULES_BROKEN),
         Err(error) => {
             eprintln!("glenhaven-lab: {error}");
             ExitCode::from(error.status())
--- a/crates/lab/src/scale.rs
+++ b/crates/lab/src/scale.rs
@@ -38,13 +38,14 @@
 const REPORTS: &str = "target/lab";
 
 /// Listeners of the state service and of the cloud, one for each controller.
-struct Services {
+pub struct Services {
     state: Vec<Async<TcpListener>>,
     cloud: Vec<Async<TcpListener>>,
 }
 
 impl Services {
-    fn listen(experiment: &Experiment) -> Result<Services, LabError> {
+    /// Listens for all controllers.
+    pub fn listen(experiment: &Experiment) -> Result<Services, LabError> {
         let addresses = crate::lab::Addresses::new(experiment.network);
         let nodes = 0..experiment.controllers.count;
         Ok(Services {
@@ -60,7 +61,7 @@
 }
 
 /// Kills the controllers when the experiment is left, in whatever way.
-struct EndChildren(Arc<Lab>);
+pub struct EndChildren(pub Arc<Lab>);
 
 impl Drop for EndChildren {
     fn drop(&mut self) {
@@ -163,7 +164,8 @@
     })
 }
 
-fn serve(lab: &Arc<Lab>, services: Services) {
+/// Serves the state service and the cloud.
+pub fn serve(lab: &Arc<Lab>, services: Services) {
     for (node, listener) in services.state.into_iter().enumerate() {
         let serve = server::serve(lab.clone(), listener, node, Side::State, state_service::handle);
         lab.executor.spawn(serve).detach();
@@ -176,7 +178,7 @@
 }
 
 /// Creates the machines that are there from the beginning.
-fn create_machines(lab: &Arc<Lab>) {
+pub fn create_machines(lab: &Arc<Lab>) {
     let workers = &lab.experiment.workers;
     let mut fleet = lab.fleet();
     for number in 0..workers.count {
--- a/crates/lab/src/server.rs
+++ b/crates/lab/src/server.rs
@@ -1,12 +1,18 @@
 //! Serves HTTP requests of controllers.
 
 use crate::errors::LabError;
+use crate::faults::{Fate, Party, Route};
 use crate::lab::{Lab, Side};
-use async_io::Async;
+use async_io::{Async, Timer};
 use glenhaven_standins::http::{Connection, Request, Response};
+use glenhaven_standins::wire::refusal;
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a connection stays open on which an answer was lost.
+const SILENCE: Duration = Duration::from_secs(8);
 
 /// Listens on an address.
 pub fn listen(addr: SocketAddr) -> Result<Async<TcpListener>, LabError> {
@@ -37,10 +43,34 @@
     H: Fn(Arc<Lab>, usize, Request) -> F,
     F: Future<Output = Option<Response>>,
 {
+    let service = if side == Side::Cloud {
+        Party::Cloud
+    } else {
+        Party::State
+    };
+    let there = Route::between(Party::Node(node), service);
     while let Ok(Some(request)) = connection.read_request().await {
-        let Some(response) = handler(lab.clone(), node, request).await else {
-            return;
+        lab.faults.passes(&there, "").await;
+        let fate = lab.faults.fate(&there, "");
+        let response = match fate {
+            Fate::Reset => return,
+            Fate::Refuse => Some(refusal()),
+            Fate::Late(after) => {
+                Timer::after(after).await;
+                handler(lab.clone(), node, request).await;
+                return;
+            }
+            Fate::Deliver | Fate::LoseAnswer => handler(lab.clone(), node, request).await,
         };
+        let Some(response) = response else { return };
+        if fate == Fate::LoseAnswer {
+            Timer::after(SILENCE).await;
+            return;
+        }
+        lab.faults.passes(&there.back(), "").await;
+        if lab.faults.fate(&there.back(), "") == Fate::Reset {
+            return;
+        }
         let written = connection.write_response(&response).await;
         lab.nodes[node].count(side, connection.take_traffic());
         if written.is_err() {
--- /dev/null
+++ b/crates/lab/src/soak/draw.rs
@@ -0,0 +1,272 @@
+//! Draws the plan of a seed. The same seed gives the same plan on every machine.
+
+use super::plan::{Plan, PlannedTrouble, Trouble, Users};
+use crate::experiment::{Controllers, Experiment, Load, Services, Teams, Workers};
+use crate::faults::{LinkFault, Party, Route};
+use fastrand::Rng;
+use glenhaven::protocol::users::{Priority, Shape};
+
+/// One seed in so many has hundreds of workers.
+const LARGE_EVERY: u64 = 10;
+/// One seed in so many stays calm for long enough to tell whether anything is left waiting.
+const LONG_CALM_EVERY: u64 = 10;
+const CALM_S: f64 = 20.0;
+pub const LONG_CALM_S: f64 = 110.0;
+const CORES: f64 = 16.0;
+const GPUS: f64 = 4.0;
+/// Troubles begin after this.
+const SETTLED_S: f64 = 6.0;
+/// A trouble follows the one before it after so long, on average.
+const TROUBLE_EVERY_S: f64 = 3.5;
+/// Starts a second that the load asks for on each ten machines.
+const STARTS_ON_TEN: f64 = 2.5;
+
+/// Sizes that are not left to the seed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Fixed {
+    pub duration_s: f64,
+    pub workers: Option<usize>,
+}
+
+/// The plan of a seed.
+pub fn draw(seed: u64, fixed: Fixed, network: u8) -> Plan {
+    let mut rng = Rng::with_seed(seed);
+    let experiment = draw_experiment(seed, fixed, network, &mut rng);
+    let troubles = draw_troubles(&experiment, &mut rng);
+    Plan {
+        calm_s: if seed % LONG_CALM_EVERY == 5 {
+            LONG_CALM_S
+        } else {
+            CALM_S
+        },
+        users: Users {
+            close_questions: rng.f64() * 0.5,
+            cancelled_at_end: rng.f64(),
+        },
+        experiment,
+        troubles,
+    }
+}
+
+fn range(rng: &mut Rng, least: f64, most: f64) -> f64 {
+    // Rounded, so that plans can be read.
+    ((least + (most - least) * rng.f64()) * 100.0).round() / 100.0
+}
+
+fn draw_experiment(seed: u64, fixed: Fixed, network: u8, rng: &mut Rng) -> Experiment {
+    let drawn = if seed % LARGE_EVERY == 0 {
+        rng.usize(200..=400)
+    } else {
+        rng.usize(20..=60)
+    };
+    let workers = fixed.workers.unwrap_or(drawn);
+    let controllers = rng.usize(3..=5);
+    let zones = ["a", "b", "c"][..rng.usize(1..=3)]
+        .iter()
+        .map(|z| z.to_string())
+        .collect::<Vec<_>>();
+    let lease_s = range(rng, 8.0, 14.0);
+    let teams = rng.usize(2..=6);
+    let cores = workers as f64 * CORES;
+    Experiment {
+        name: format!("seed-{seed}"),
+        seed,
+        duration_s: fixed.duration_s,
+        network,
+        audit_records: workers <= 100,
+        controllers: Controllers {
+            count: controllers,
+            zones: zones.clone(),
+            sockets: 2000,
+            log_level: "debug".into(),
+            idle_s: range(rng, 3.0, 60.0),
+            forwarded: true,
+        },
+        services: Services {
+            state_rps: 400.0 + 2.0 * workers as f64,
+            state_write_rps: 150.0 + workers as f64,
+            value_kb: range(rng, 8.0, 32.0).floor(),
+            txn_ops: rng.usize(24..=64),
+            cloud_rps: 10.0,
+            list_lag_s: range(rng, 0.5, 3.0),
+        },
+        workers: Workers {
+            count: workers,
+            cpus: CORES,
+            gpus: GPUS,
+            memory_gb: 128.0,
+            report_s: range(rng, 0.7, 1.5),
+            lease_s,
+            cancel_s: (lease_s * 1.6).round() + 4.0,
+            boot_s: range(rng, 0.5, 4.0),
+            ramp_s: 2.0,
+        },
+        // All teams together may take most of the machines, and ask for more than that.
+        teams: Teams {
+            count: teams,
+            cpus: (cores * 0.3 / teams as f64).round(),
+            cpus_max: (cores * range(rng, 0.4, 0.8) / teams as f64).round(),
+            gpus: 0.0,
+            gpus_max: (workers as f64 * GPUS * range(rng, 0.1, 0.4) / teams as f64)
+                .round()
+                .max(2.0),
+        },
+        load: draw_load(workers, &zones, rng),
+        inject: vec![],
+    }
+}
+
+fn draw_load(workers: usize, zones: &[String], rng: &mut Rng) -> Vec<Load> {
+    let starts = workers as f64 / 10.0 * STARTS_ON_TEN;
+    let kinds = rng.usize(3..=5);
+    let mut loads: Vec<Load> = (0..kinds)
+        .map(|n| draw_array(n, starts / kinds as f64, zones, rng))
+        .collect();
+    loads.push(Load {
+        class: "serve".into(),
+        priority: Priority::Production,
+        shape: Shape::Service,
+        tasks: rng.u32(1..=4),
+        cpus: 2.0,
+        cancelled: 1.0,
+        every_s: range(rng, 2.0, 6.0),
+        ..draw_array(kinds, 1.0, zones, rng)
+    });
+    loads
+}
+
+fn draw_array(number: usize, starts: f64, zones: &[String], rng: &mut Rng) -> Load {
+    let tasks = *rng.choice(&[1u32, 1, 2, 3, 8, 16]).unwrap_or(&1);
+    let placed = rng.u8(0..8);
+    Load {
+        class: format!("class-{number}"),
+        priority: [Priority::Low, Priority::Normal, Priority::High, Priority::Production][rng.usize(0..4)],
+        shape: Shape::Array,
+        tasks,
+        cpus: *rng.choice(&[1.0, 2.0, 4.0, 8.0]).unwrap_or(&1.0),
+        run_s: range(rng, 0.3, 12.0),
+        from_s: 3.0,
+        until_s: None,
+        every_s: (f64::from(tasks) / starts * 100.0).round().max(5.0) / 100.0,
+        cancelled: range(rng, 0.05, 0.5),
+        gpus: if rng.u8(0..4) == 0 { 1.0 } else { 0.0 },
+        save_s: if rng.u8(0..3) == 0 { range(rng, 0.2, 3.0) } else { 0.0 },
+        image_gb: Some(range(rng, 0.0, 2.0)),
+        zone: (placed == 0).then(|| zones[rng.usize(0..zones.len())].clone()),
+        one_zone: placed == 1,
+        spread: placed == 2 && zones.len() > 1,
+    }
+}
+
+fn draw_troubles(experiment: &Experiment, rng: &mut Rng) -> Vec<PlannedTrouble> {
+    let mut troubles = vec![];
+    let mut at_s = SETTLED_S;
+    loop {
+        at_s += range(rng, 0.2, 2.0 * TROUBLE_EVERY_S);
+        if at_s >= experiment.duration_s {
+            return troubles;
+        }
+        let lease_s = experiment.workers.lease_s;
+        let long = rng.u8(0..4) == 0;
+        let most_s = if long { lease_s * 1.4 } else { lease_s * 0.5 };
+        let for_s = range(rng, 0.05, most_s);
+        let trouble = draw_trouble(experiment, rng);
+        troubles.push(PlannedTrouble {
+            at_s: (at_s * 100.0).round() / 100.0,
+            for_s,
+            trouble,
+        });
+        // Some meet another one at the same moment.
+        if rng.u8(0..3) == 0 {
+            let for_s = range(rng, 0.05, lease_s);
+            let trouble = draw_trouble(experiment, rng);
+            troubles.push(PlannedTrouble {
+                at_s: (at_s * 100.0).round() / 100.0,
+                for_s,
+                trouble,
+            });
+        }
+    }
+}
+
+fn draw_trouble(experiment: &Experiment, rng: &mut Rng) -> Trouble {
+    let workers = experiment.workers.count;
+    let some = |rng: &mut Rng| rng.usize(1..=(workers / 10).max(2));
+    match rng.u8(0..16) {
+        0 | 1 => Trouble::Kill {
+            who: draw_node(experiment, rng),
+        },
+        2 => Trouble::KillLeaders {
+            every_s: range(rng, 0.2, 3.5),
+            down_s: range(rng, 0.05, 2.0),
+        },
+        3 | 4 => Trouble::Pause {
+            who: draw_node(experiment, rng),
+        },
+        5 => Trouble::Outage,
+        6 => Trouble::Hang { count: some(rng) },
+        7 => Trouble::MachineDeaths {
+            count: rng.usize(1..=2),
+        },
+        8 => Trouble::Cancel {
+            count: rng.usize(3..=20),
+        },
+        _ => draw_link(experiment, rng),
+    }
+}
+
+/// A controller, most often the one that leads.
+fn draw_node(experiment: &Experiment, rng: &mut Rng) -> Party {
+    match rng.u8(0..3) {
+        0 => Party::Node(rng.usize(0..experiment.controllers.count)),
+        _ => Party::Leader,
+    }
+}
+
+fn draw_link(experiment: &Experiment, rng: &mut Rng) -> Trouble {
+    let node = draw_node(experiment, rng);
+    let other = Party::Node(rng.usize(0..experiment.controllers.count));
+    let there = match rng.u8(0..9) {
+        0 | 1 => Route::between(node, Party::State),
+        2 => Route::between(node, Party::Cloud),
+        3 | 4 => Route::between(Party::Workers, node),
+        5 | 6 => Route::between(Party::Direct, Party::Workers),
+        7 => Route::between(Party::Users, node),
+        _ => Route::between(node, other),
+    };
+    let fault = draw_fault(experiment.workers.lease_s, rng);
+    // Requests can be refused, held up or copied; answers can only be late or lost.
+    let backwards = rng.u8(0..4) == 0
+        && matches!(
+            fault,
+            LinkFault::Cut | LinkFault::Slow { .. } | LinkFault::Resets { .. }
+        );
+    Trouble::Link {
+        route: if backwards { there.back() } else { there },
+        hosts: range(rng, 0.1, 1.0),
+        fault,
+    }
+}
+
+fn draw_fault(lease_s: f64, rng: &mut Rng) -> LinkFault {
+    let share = range(rng, 0.1, 0.8);
+    match rng.u8(0..9) {
+        0 | 1 => LinkFault::Cut,
+        2 => LinkFault::Slow {
+            delay_ms: rng.u64(20..1500),
+        },
+        3 => LinkFault::Refuses { share },
+        4 => LinkFault::Resets { share },
+        5 => LinkFault::LosesAnswers { share },
+        6 | 7 => LinkFault::Late {
+            share,
+            least_s: 1.0,
+            most_s: 10.0,
+        },
+        _ => LinkFault::Copies {
+            share,
+            least_s: 1.0,
+            most_s: lease_s * 1.5,
+        },
+    }
+}
--- /dev/null
+++ b/crates/lab/src/soak/mod.rs
@@ -0,0 +1,137 @@
+//! Soaks: randomized troubles around real controllers, a plan for each seed.
+
+mod draw;
+mod outcome;
+mod plan;
+mod run;
+mod troubles;
+mod users;
+
+use crate::errors::LabError;
+use clap::Args;
+use draw::{draw, Fixed};
+use outcome::Outcome;
+use plan::Plan;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Mutex;
+
+/// Set by an interrupt.
+static INTERRUPTED: AtomicBool = AtomicBool::new(false);
+
+/// What is played.
+#[derive(Args)]
+pub struct SoakArgs {
+    /// Seeds, from the first up to and without the last.
+    #[arg(long, value_name = "A..B", value_parser = seeds, default_value = "1..2", conflicts_with = "plan")]
+    seeds: Seeds,
+    /// A plan (TOML) that is played instead of seeds.
+    #[arg(long, value_name = "FILE")]
+    plan: Option<PathBuf>,
+    /// Plans that are played at once.
+    #[arg(long, value_name = "N", default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=64))]
+    parallel: u8,
+    /// How long users and troubles go on, in seconds.
+    #[arg(long, value_name = "S", default_value_t = 45.0)]
+    duration: f64,
+    /// Workers; drawn by the seed if not given.
+    #[arg(long, value_name = "N")]
+    workers: Option<usize>,
+    /// The glenhaven program.
+    #[arg(long, value_name = "BINARY")]
+    controllers: PathBuf,
+    /// Where plans, outcomes and logs go.
+    #[arg(long, value_name = "DIR", default_value = "target/soak")]
+    report: PathBuf,
+    /// Addresses are 127.N.x.y, and 127.N+1.x.y and so on for plans that are played at once.
+    #[arg(long, value_name = "N", default_value_t = 150)]
+    network: u8,
+    /// Logs of plans that hold are kept too.
+    #[arg(long)]
+    keep: bool,
+}
+
+/// A range of seeds.
+#[derive(Clone, Debug)]
+pub struct Seeds(std::ops::Range<u64>);
+
+fn seeds(text: &str) -> Result<Seeds, String> {
+    let (from, to) = text.split_once("..").ok_or("not like 1..50")?;
+    let number = |text: &str| text.parse::<u64>().map_err(|e| format!("{text}: {e}"));
+    let range = number(from)?..number(to)?;
+    if range.is_empty() {
+        return Err("no seed".into());
+    }
+    Ok(Seeds(range))
+}
+
+/// Plays all that was asked for: the outcomes, one for each plan.
+pub fn run(args: &SoakArgs) -> Result<Vec<Outcome>, LabError> {
+    let program = args.controllers.canonicalize().map_err(|_| LabError::NoProgram {
+        path: args.controllers.clone(),
+    })?;
+    let interrupt = || INTERRUPTED.store(true, Ordering::Relaxed);
+    ctrlc::set_handler(interrupt).map_err(|e| LabError::Machine(e.to_string()))?;
+    if let Some(file) = &args.plan {
+        let plan = Plan::load(file)?;
+        return Ok(vec![play(args, &plan, &program)?]);
+    }
+    let seeds = Mutex::new(args.seeds.0.clone());
+    let outcomes = Mutex::new(vec![]);
+    let failed = Mutex::new(None);
+    std::thread::scope(|scope| {
+        for slot in 0..args.parallel {
+            let (seeds, outcomes, failed, program) = (&seeds, &outcomes, &failed, &program);
+            scope.spawn(move || {
+                while failed.lock().is_ok_and(|failed| failed.is_none()) {
+                    let Some(seed) = seeds.lock().ok().and_then(|mut seeds| seeds.next()) else {
+                        return;
+                    };
+                    match play_seed(args, seed, slot, program) {
+                        Ok(outcome) => outcomes.lock().map(|mut all| all.push(outcome)).unwrap_or(()),
+                        Err(error) => failed.lock().map(|mut failed| *failed = Some(error)).unwrap_or(()),
+                    }
+                }
+            });
+        }
+    });
+    match failed.into_inner().unwrap_or(None) {
+        Some(error) => Err(error),
+        None => {
+            let mut outcomes = outcomes.into_inner().unwrap_or_default();
+            outcomes.sort_by_key(|outcome: &Outcome| outcome.seed);
+            Ok(outcomes)
+        }
+    }
+}
+
+fn play_seed(args: &SoakArgs, seed: u64, slot: u8, program: &Path) -> Result<Outcome, LabError> {
+    let fixed = Fixed {
+        duration_s: args.duration,
+        workers: args.workers,
+    };
+    let plan = draw(seed, fixed, args.network.saturating_add(slot));
+    plan.check().map_err(|message| LabError::Experiment {
+        path: format!("seed {seed}").into(),
+        message,
+    })?;
+    play(args, &plan, program)
+}
+
+fn play(args: &SoakArgs, plan: &Plan, program: &Path) -> Result<Outcome, LabError> {
+    let dir = args.report.join(&plan.experiment.name);
+    std::fs::create_dir_all(&dir).map_err(|source| LabError::Unwritable {
+        path: dir.clone(),
+        source,
+    })?;
+    let outcome = run::run(plan, program, &dir, &INTERRUPTED)?;
+    println!("{}", outcome.line());
+    for complaint in outcome.complaints() {
+        println!("  {complaint}");
+    }
+    if outcome.holds() && !args.keep {
+        std::fs::remove_dir_all(dir.join("controllers")).ok();
+        std::fs::remove_file(dir.join("history.log")).ok();
+    }
+    Ok(outcome)
+}
--- /dev/null
+++ b/crates/lab/src/soak/outcome.rs
@@ -0,0 +1,144 @@
+//! What came of one plan.
+
+use crate::lab::Lab;
+use glenhaven_standins::user::{job_of, User};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::path::Path;
+
+/// A job that is left waiting so long once the troubles are over is stranded, in microseconds.
+const LEFT_WAITING: u64 = 90 * glenhaven_standins::SEC;
+/// Error lines of controllers that are kept.
+const MOST_ERRORS: usize = 20;
+
+/// What came of one plan.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    pub seed: u64,
+    pub workers: usize,
+    pub controllers: usize,
+    pub troubles: usize,
+    /// Rules of the protocol, and invariants beyond them, that were broken.
+    pub broken: Vec<String>,
+    /// What should never have been asked of the state service or the cloud.
+    pub problems: Vec<String>,
+    /// Error lines in the logs of the controllers.
+    pub errors: Vec<String>,
+    pub ended_by_themselves: Vec<usize>,
+    /// Accepted jobs that some controller did not know at the end, or did not answer for.
+    pub unknown_at_end: Vec<String>,
+    /// Jobs left waiting beside room for a machine; not looked at unless it was calm for long.
+    pub stranded: Option<Vec<String>>,
+    pub starts: u64,
+    pub jobs: usize,
+    pub accepted: usize,
+    pub terms: u64,
+    pub lives: usize,
+    /// The part of the machines' time that was lost to leases.
+    pub lease_kills: usize,
+    pub starts_after_cancellation: u64,
+    /// The longest time in which the emulator itself did nothing, in milliseconds.
+    pub emulator_behind_ms: u64,
+}
+
+impl Outcome {
+    /// Whether nothing was broken.
+    pub fn holds(&self) -> bool {
+        self.broken.is_empty()
+            && self.problems.is_empty()
+            && self.errors.is_empty()
+            && self.ended_by_themselves.is_empty()
+            && self.unknown_at_end.is_empty()
+            && self.stranded.iter().flatten().next().is_none()
+            && self.starts > 0
+    }
+
+    /// The outcome in one line.
+    pub fn line(&self) -> String {
+        format!(
+            "seed {}: {}; {} controllers, {} workers, {} troubles, {} terms, {} lives; {} starts, {} of {} jobs accepted; {} killed by a lease; emulator behind {} ms",
+            self.seed,
+            if self.holds() { "holds" } else { "FAILED" },
+            self.controllers,
+            self.workers,
+            self.troubles,
+            self.terms,
+            self.lives,
+            self.starts,
+            self.accepted,
+            self.jobs,
+            self.lease_kills,
+            self.emulator_behind_ms,
+        )
+    }
+
+    /// What was broken, a line each.
+    pub fn complaints(&self) -> Vec<String> {
+        let mut complaints = self.broken.clone();
+        complaints.extend(self.problems.iter().map(|p| format!("problem: {p}")));
+        complaints.extend(self.errors.iter().map(|e| format!("error line: {e}")));
+        complaints.extend(
+            self.ended_by_themselves
+                .iter()
+                .map(|n| format!("node-{n} ended by itself")),
+        );
+        complaints.extend(
+            self.unknown_at_end
+                .iter()
+                .map(|job| format!("not known at the end: {job}")),
+        );
+        complaints.extend(self.stranded.iter().flatten().map(|job| format!("left waiting: {job}")));
+        if self.starts == 0 {
+            complaints.push("nothing_ran".into());
+        }
+        complaints
+    }
+}
+
+/// Error lines in the controllers' logs.
+pub fn error_lines(dir: &Path) -> Vec<String> {
+    let mut found = vec![];
+    for entry in std::fs::read_dir(dir).into_iter().flatten().flatten() {
+        let path = entry.path();
+        if path.extension().is_none_or(|extension| extension != "log") {
+            continue;
+        }
+        let name = path.file_stem().unwrap_or_default().to_string_lossy().to_string();
+        let text = std::fs::read_to_string(&path).unwrap_or_default();
+        let errors = text
+            .lines()
+            .filter(|line| line.contains(" ERROR ") || line.contains("panicked"));
+        found.extend(errors.map(|line| format!("{name}: {line}")));
+    }
+    found.truncate(MOST_ERRORS);
+    found
+}
+
+/// Jobs of which nothing has begun for long, though a machine has room and the team may.
+pub fn stranded(lab: &Lab, calm_since: u64) -> Vec<String> {
+    let fleet = lab.fleet();
+    let now = lab.now();
+    let open = |user: &&User| {
+        let over = user.done.is_some() || user.cancelled.is_some() || user.wants_abort;
+        let since = user.accepted.unwrap_or(now).max(calm_since);
+        !over && user.refused.is_none() && now.saturating_sub(since) > LEFT_WAITING
+    };
+    let mut live: BTreeMap<&str, u32> = BTreeMap::new();
+    for task in fleet.workers.values().filter(|w| w.up).flat_map(|w| w.live()) {
+        *live.entry(job_of(task)).or_default() += 1;
+    }
+    let mut found = vec![];
+    for (id, user) in fleet.users.iter().filter(|(_, user)| open(user)) {
+        let last = fleet.rules.last_start.get(id).copied().unwrap_or(0);
+        let waits = !live.contains_key(id.as_str()) && now.saturating_sub(last.max(calm_since)) > LEFT_WAITING;
+        let fits = fleet
+            .workers
+            .values()
+            .filter(|w| w.up && user.spec.zone.as_ref().is_none_or(|z| *z == w.zone));
+        let mut room = fits.filter(|w| w.has_room(&user.spec, &fleet.users));
+        if waits && room.next().is_some() && fleet.rules.has_room(&user.spec, &fleet.workers, &fleet.users) {
+            found.push(id.clone());
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/lab/src/soak/plan.rs
@@ -0,0 +1,109 @@
+//! The plan of one soak: an experiment, and troubles with their times.
+
+use crate::errors::LabError;
+use crate::experiment::Experiment;
+use crate::faults::{LinkFault, Party, Route};
+use serde::{Deserialize, Serialize};
+use std::path::Path;
+
+/// A plan, as it is written and read (TOML).
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// How long everything goes on without troubles before the last questions.
+    pub calm_s: f64,
+    /// How users behave beside what the loads say.
+    pub users: Users,
+    pub experiment: Experiment,
+    #[serde(default)]
+    pub troubles: Vec<PlannedTrouble>,
+}
+
+/// How users behave.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Users {
+    /// This share asks all controllers, and repeats the submission, within milliseconds after
+    /// an acceptance, an end or a cancellation.
+    pub close_questions: f64,
+    /// Of the jobs that are cancelled, this share is at about the time at which their tasks end.
+    pub cancelled_at_end: f64,
+}
+
+/// A trouble with its time.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PlannedTrouble {
+    pub at_s: f64,
+    pub for_s: f64,
+    #[serde(flatten)]
+    pub trouble: Trouble,
+}
+
+/// What goes wrong.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Trouble {
+    /// A controller is killed; it is started again at the end of the trouble.
+    Kill { who: Party },
+    /// Leader after leader is killed; each is started again after a while.
+    KillLeaders { every_s: f64, down_s: f64 },
+    /// A controller stands still.
+    Pause { who: Party },
+    /// A link fails in one direction, for a share of the machines.
+    Link { route: Route, hosts: f64, fault: LinkFault },
+    /// The state service refuses everybody.
+    Outage,
+    /// So many machines hang.
+    Hang { count: usize },
+    /// So many machines die.
+    MachineDeaths { count: usize },
+    /// Users cancel so many open jobs at once.
+    Cancel { count: usize },
+}
+
+impl Plan {
+    /// Reads and checks a plan.
+    pub fn load(path: &Path) -> Result<Plan, LabError> {
+        let text = std::fs::read_to_string(path).map_err(|source| LabError::Unreadable {
+            path: path.to_path_buf(),
+            source,
+        })?;
+        let wrong = |message: String| LabError::Experiment {
+            path: path.to_path_buf(),
+            message,
+        };
+        let plan: Plan = toml::from_str(&text).map_err(|e| wrong(e.to_string().trim().replace('\n', " ")))?;
+        plan.check().map_err(wrong)?;
+        Ok(plan)
+    }
+
+    /// Whether the numbers make sense together.
+    pub fn check(&self) -> Result<(), String> {
+        self.experiment.check()?;
+        if !(self.calm_s.is_finite() && self.calm_s >= 0.0) {
+            return Err(format!("calm_s: {} is not a time", self.calm_s));
+        }
+        let nodes = self.experiment.controllers.count;
+        let known = |party: &Party| !matches!(party, Party::Node(n) if *n >= nodes);
+        for planned in &self.troubles {
+            let parties = match &planned.trouble {
+                Trouble::Kill { who } | Trouble::Pause { who } => vec![*who],
+                Trouble::Link { route, .. } => vec![route.from, route.to],
+                _ => vec![],
+            };
+            if let Some(party) = parties.iter().find(|party| !known(party)) {
+                return Err(format!("troubles: there is no {party:?}"));
+            }
+            let times = [planned.at_s, planned.for_s];
+            if times.iter().any(|time| !time.is_finite() || *time < 0.0) {
+                return Err(format!("troubles: {times:?} are not times"));
+            }
+        }
+        Ok(())
+    }
+
+    /// The plan as it is written.
+    pub fn text(&self) -> Result<String, LabError> {
+        toml::to_string(self).map_err(|e| LabError::Machine(e.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/lab/src/soak/users.rs
@@ -0,0 +1,162 @@
+//! Users of a soak: each submits a job at any controller, asks about it at all of them, repeats
+//! its submission, and may cancel it. Every answer is compared with what the state service held
+//! when the question was sent.
+
+use super::plan;
+use crate::faults::{Fate, Party, Route};
+use crate::lab::{Lab, Side};
+use crate::machines::{exchange, within};
+use crate::users::request;
+use async_io::Timer;
+use glenhaven::protocol::from_cbor;
+use glenhaven::protocol::users::{JobState, Phase};
+use glenhaven_standins::evidence::{Held, Judged};
+use glenhaven_standins::http::Response;
+use glenhaven_standins::user::{Asked, User};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Pauses between a user's questions, and after a request that was not answered.
+const ASKS: Duration = Duration::from_millis(900);
+const RETRY: Duration = Duration::from_millis(400);
+/// Questions at all controllers follow an answer after these times.
+const CLOSE: [Duration; 3] = [Duration::ZERO, Duration::from_millis(4), Duration::from_millis(40)];
+
+/// When a user cancels its job.
+#[derive(Clone, Copy, Debug)]
+pub enum Cancels {
+    Never,
+    /// So long after its submission.
+    After(Duration),
+    /// At about the time at which its tasks end.
+    AtEnd,
+}
+
+/// Lives the life of a user, until its job is over or the experiment is.
+pub async fn live(lab: Arc<Lab>, user: User, cancels: Cancels, users: plan::Users) {
+    let job = user.spec.id.clone();
+    let run = Duration::from_micros(user.run);
+    lab.fleet().users.insert(job.clone(), user);
+    let close = lab.fleet().rng.f64() < users.close_questions;
+    let began = Instant::now();
+    let mut cancel_at = match cancels {
+        Cancels::Never | Cancels::AtEnd => None,
+        Cancels::After(after) => Some(began + after),
+    };
+    let mut told = None;
+    loop {
+        let asked = next_question(&lab, &job, cancel_at);
+        let answer = ask_somewhere(&lab, &job, asked).await;
+        if let Some(phase) = answer {
+            if close && told != Some(phase) {
+                ask_closely(&lab, &job);
+            }
+            told = Some(phase);
+            if phase.is_final() {
+                return;
+            }
+            if matches!(cancels, Cancels::AtEnd) && phase == Phase::Running && cancel_at.is_none() {
+                cancel_at = Some(Instant::now() + run);
+            }
+        }
+        let pause = if answer.is_some() { ASKS } else { RETRY };
+        let left = cancel_at.map_or(pause, |at| at.saturating_duration_since(Instant::now()));
+        Timer::after(if left.is_zero() { pause } else { pause.min(left) }).await;
+    }
+}
+
+/// What a user asks next.
+fn next_question(lab: &Lab, job: &str, cancel_at: Option<Instant>) -> Asked {
+    let mut fleet = lab.fleet();
+    let now = lab.now();
+    let Some(user) = fleet.users.get_mut(job) else {
+        return Asked::Poll;
+    };
+    if cancel_at.is_some_and(|at| Instant::now() >= at) && user.accepted.is_some() {
+        user.wants_abort = true;
+    }
+    if user.accepted.is_none() {
+        user.submitted = true;
+        user.first_asked.get_or_insert(now);
+        Asked::Submit
+    } else if user.wants_abort && user.cancelled.is_none() && user.done.is_none() {
+        Asked::Abort
+    } else {
+        Asked::Poll
+    }
+}
+
+async fn ask_somewhere(lab: &Arc<Lab>, job: &str, asked: Asked) -> Option<Phase> {
+    let node = lab.fleet().rng.usize(0..lab.nodes.len());
+    ask(lab, job, node, asked).await
+}
+
+/// Asks all controllers at once, again and again within milliseconds, and submits the job anew.
+fn ask_closely(lab: &Arc<Lab>, job: &str) {
+    for node in 0..lab.nodes.len() {
+        for after in CLOSE {
+            let (lab, job) = (lab.clone(), job.to_string());
+            let executor = lab.clone();
+            let question = async move {
+                Timer::after(after).await;
+                let asked = if lab.fleet().rng.bool() {
+                    Asked::Poll
+                } else {
+                    Asked::Submit
+                };
+                ask(&lab, &job, node, asked).await;
+            };
+            executor.executor.spawn(question).detach();
+        }
+    }
+}
+
+/// One question with its answer: the phase that it says.
+pub async fn ask(lab: &Arc<Lab>, job: &str, node: usize, asked: Asked) -> Option<Phase> {
+    let spec = lab.fleet().users.get(job)?.spec.clone();
+    let before = Held::of(&lab.store(), job);
+    let request = request(asked, &spec);
+    let there = Route::between(Party::Users, Party::Node(node));
+    let exchange = async {
+        lab.faults.passes(&there, "").await;
+        if lab.faults.fate(&there, "") != Fate::Deliver {
+            return None;
+        }
+        let answer = exchange(lab, None, node, Side::Users, &request).await;
+        lab.faults.passes(&there.back(), "").await;
+        answer
+    };
+    let answer = within(Duration::from_micros(asked.limit()), exchange).await;
+    let (_, response) = answer?;
+    take(lab, job, asked, before, &response, node)
+}
+
+/// Takes in an answer, and judges it.
+fn take(lab: &Lab, job: &str, asked: Asked, before: Held, response: &Response, node: usize) -> Option<Phase> {
+    let after = Held::of(&lab.store(), job);
+    let mut fleet = lab.fleet();
+    let fleet = &mut *fleet;
+    let now = lab.now();
+    let user = fleet.users.get_mut(job)?;
+    let judged = Judged {
+        user,
+        asked,
+        before,
+        after,
+        status: response.status,
+        body: &response.body,
+        results: &fleet.results,
+    };
+    if let Some(problem) = judged.problem() {
+        fleet.rules.broken.push(format!("{problem}, by node-{node} at {now}"));
+    }
+    if !matches!(response.status, 200 | 201) {
+        return None;
+    }
+    let phase = from_cbor::<JobState>(&response.body).ok()?.phase;
+    user.told(now, now, phase);
+    fleet
+        .history
+        .note(now, || format!("{job}: {asked:?} at node-{node} answered {phase:?}"));
+    Some(phase)
+}
--- a/crates/lab/src/users.rs
+++ b/crates/lab/src/users.rs
@@ -18,7 +18,7 @@
 const RETRY: Duration = Duration::from_secs(1);
 
 /// A request of a user.
-fn request(asked: Asked, spec: &Spec) -> Request {
+pub fn request(asked: Asked, spec: &Spec) -> Request {
     let (method, path, body) = match asked {
         Asked::Submit => ("POST", "/v2/runs".to_string(), to_cbor(spec)),
         Asked::Poll => ("GET", format!("/v2/runs/{}", spec.id), vec![]),
--- /dev/null
+++ b/crates/standins/src/evidence.rs
@@ -0,0 +1,86 @@
+//! Answers to users, judged by what the state service held when the question was sent.
+
+use crate::store::Store;
+use crate::user::{Asked, User};
+use glenhaven::protocol::from_cbor;
+use glenhaven::protocol::users::{JobState, Phase, Shape};
+use std::collections::BTreeSet;
+
+/// What the state service holds of a job.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Held {
+    /// A page of acceptances names it.
+    pub accepted: bool,
+    /// Its final phase, which is kept for ever.
+    pub ended: Option<Phase>,
+}
+
+impl Held {
+    /// What is held of a job now.
+    pub fn of(store: &Store, job: &str) -> Held {
+        Held {
+            accepted: store.names_acceptance(job),
+            ended: store.final_phase(job),
+        }
+    }
+
+    fn knows(&self) -> bool {
+        self.accepted || self.ended.is_some()
+    }
+}
+
+/// A question and its answer.
+pub struct Judged<'a> {
+    pub user: &'a User,
+    pub asked: Asked,
+    /// What was held when the question was sent, and when its answer had come.
+    pub before: Held,
+    pub after: Held,
+    pub status: u16,
+    pub body: &'a [u8],
+    /// Tasks that have completed.
+    pub results: &'a BTreeSet<String>,
+}
+
+impl Judged<'_> {
+    /// What is wrong with the answer.
+    pub fn problem(&self) -> Option<String> {
+        let job = &self.user.spec.id;
+        let asked = self.asked;
+        match self.status {
+            200 | 201 => {
+                let state: Option<JobState> = from_cbor(self.body).ok();
+                match state {
+                    Some(state) => self.phase_problem(state.phase),
+                    None => Some(format!("malformed: the answer to {asked:?} of {job}")),
+                }
+            }
+            404 | 400 | 422 if self.before.knows() => {
+                Some(format!("forgotten: {job} answered {} to {asked:?}", self.status))
+            }
+            _ => None,
+        }
+    }
+
+    fn phase_problem(&self, phase: Phase) -> Option<String> {
+        let job = &self.user.spec.id;
+        if let Some(ended) = self.before.ended.filter(|ended| *ended != phase) {
+            let asked = self.asked;
+            return Some(format!(
+                "went_back: {job} was {ended:?}, and {asked:?} is answered {phase:?}"
+            ));
+        }
+        if !self.after.knows() {
+            return Some(format!("invented: {job} is answered {phase:?} before it is written"));
+        }
+        if phase.is_final() && self.after.ended != Some(phase) {
+            return Some(format!("went_back: {job} is answered {phase:?} before that is written"));
+        }
+        if phase == Phase::Cancelled && !self.user.wants_abort {
+            return Some(format!("went_back: {job} is called cancelled by nobody"));
+        }
+        let missing = (0..self.user.spec.tasks).filter(|t| !self.results.contains(&format!("{job}/{t}")));
+        let unfinished = self.user.spec.shape == Shape::Service || missing.count() > 0;
+        (phase == Phase::Done && unfinished).then(|| format!("not_done: {job} is called done"))
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 pub mod cloud;
+pub mod evidence;
 pub mod http;
 pub mod rules;
 pub mod store;
--- a/crates/standins/src/rules.rs
+++ b/crates/standins/src/rules.rs
@@ -4,7 +4,7 @@
 use crate::worker::Worker;
 use crate::SEC;
 use glenhaven::protocol::users::Phase;
-use glenhaven::protocol::users::Shape;
+use glenhaven::protocol::users::{Shape, Spec};
 use glenhaven::settings::Team;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -26,10 +26,38 @@
     pub last_start: BTreeMap<String, u64>,
     /// Replica seconds missed by each service whose replicas all ran once.
     pub missed: BTreeMap<String, u64>,
-    limits: BTreeMap<String, f64>,
+    /// Starts of jobs that their users had been told are cancelled: no rule, but worth knowing.
+    pub starts_after_cancellation: u64,
+    limits: BTreeMap<String, Use>,
     cancel: u64,
 }
 
+/// What tasks take of machines together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Use {
+    /// Cores.
+    pub cpus: f64,
+    /// GPUs.
+    pub gpus: f64,
+}
+
+impl Use {
+    fn add(&mut self, spec: &Spec) {
+        self.cpus += spec.cpus;
+        self.gpus += spec.gpus;
+    }
+
+    /// Whether this is more than a limit allows.
+    fn exceeds(&self, limit: &Use) -> bool {
+        self.cpus > limit.cpus + ROUNDING || self.gpus > limit.gpus + ROUNDING
+    }
+}
+
+/// Sums of cores differ by less than this from what they should be.
+const ROUNDING: f64 = 1e-6;
+/// Breaks of what holds at every moment that are kept: one that lasts is seen at every look.
+const MOST_BROKEN: usize = 20;
+
 impl Rules {
     /// A checker of these teams' limits; a cancelled job's tasks are gone within `cancel_s`.
     pub fn new(teams: &[Team], cancel_s: f64) -> Rules {
@@ -42,18 +70,47 @@
             first_start: BTreeMap::new(),
             last_start: BTreeMap::new(),
             missed: BTreeMap::new(),
-            limits: teams
-                .iter()
-                .filter(|t| t.cpus_max > 0.0)
-                .map(|t| (t.name.clone(), t.cpus_max))
-                .collect(),
+            starts_after_cancellation: 0,
+            limits: teams.iter().map(|t| (t.name.clone(), limit_of(t))).collect(),
             cancel: (cancel_s * SEC as f64) as u64,
         }
     }
 
     /// What a team's tasks may take, if that is limited.
     pub fn limit(&self, team: &str) -> Option<f64> {
-        self.limits.get(team).copied()
+        let limit = self.limits.get(team)?;
+        limit.cpus.is_finite().then_some(limit.cpus)
+    }
+
+    /// A worker has taken a start: whatever a team's attempts take on machines, also those that
+    /// wait for their image, is covered by records, and so by the team's limit.
+    pub fn start_taken(
+        &mut self,
+        now: u64,
+        task: &str,
+        workers: &BTreeMap<String, Worker>,
+        users: &BTreeMap<String, User>,
+    ) {
+        let Some(user) = users.get(job_of(task)) else { return };
+        let held = team_use(&user.spec.team, workers, users, |w| w.live().collect());
+        self.check_limit(now, &user.spec.team, held, "with what waits for its image");
+    }
+
+    /// Whether a team's limit has room for one more task of this job.
+    pub fn has_room(&self, spec: &Spec, workers: &BTreeMap<String, Worker>, users: &BTreeMap<String, User>) -> bool {
+        let mut held = team_use(&spec.team, workers, users, |w| w.live().collect());
+        held.add(spec);
+        self.limits.get(&spec.team).is_none_or(|limit| !held.exceeds(limit))
+    }
+
+    fn check_limit(&mut self, now: u64, team: &str, held: Use, what: &str) {
+        let over = self.limits.get(team).is_some_and(|limit| held.exceeds(limit));
+        if over && self.broken.len() < MOST_BROKEN {
+            let Use { cpus, gpus } = held;
+            self.broken.push(format!(
+                "quota: {team} holds {cpus} cores and {gpus} GPUs {what} at {now}"
+            ));
+        }
     }
 
     /// Once a second: which replicas of services that ran in full are missing.
@@ -123,6 +180,9 @@
         if user.cancelled.is_some_and(|at| now > at + self.cancel) {
             self.broken.push(format!("ran_cancelled: {task} starts"));
         }
+        self.starts_after_cancellation += u64::from(user.cancelled.is_some());
+        let held = team_use(&spec.team, workers, users, |w| w.on_machine().collect());
+        self.check_limit(now, &spec.team, held, "as a task starts");
     }
 
     /// A job's task begins although something that the job needs is not done.
@@ -165,20 +225,18 @@
 
     /// What holds at every moment.
     pub fn look(&mut self, now: u64, workers: &BTreeMap<String, Worker>, users: &BTreeMap<String, User>) {
-        let mut held: BTreeMap<&str, f64> = BTreeMap::new();
+        let mut held: BTreeMap<&str, Use> = BTreeMap::new();
         for w in workers.values().filter(|w| !w.tasks.is_empty()) {
             for task in w.on_machine() {
                 let Some(user) = users.get(job_of(task)) else { continue };
-                *held.entry(&user.spec.team).or_default() += user.spec.cpus;
-                if user.cancelled.is_some_and(|at| now > at + self.cancel) && self.broken.len() < 20 {
+                held.entry(&user.spec.team).or_default().add(&user.spec);
+                if user.cancelled.is_some_and(|at| now > at + self.cancel) && self.broken.len() < MOST_BROKEN {
                     self.broken.push(format!("ran_cancelled: {task} still on {}", w.name));
                 }
             }
         }
-        for (team, cpus) in held {
-            if self.limits.get(team).is_some_and(|l| cpus > l + 1e-6) && self.broken.len() < 20 {
-                self.broken.push(format!("quota: {team} holds {cpus} at {now}"));
-            }
+        for (team, held) in held {
+            self.check_limit(now, team, held, "");
         }
     }
 
@@ -224,3 +282,30 @@
         }
     }
 }
+
+/// A team's limit; 0 in the settings means none.
+fn limit_of(team: &Team) -> Use {
+    let or_none = |limit: f64| if limit > 0.0 { limit } else { f64::INFINITY };
+    Use {
+        cpus: or_none(team.cpus_max),
+        gpus: or_none(team.gpus_max),
+    }
+}
+
+/// What some tasks of each machine take together, of one team's jobs.
+fn team_use<'a>(
+    team: &str,
+    workers: &'a BTreeMap<String, Worker>,
+    users: &BTreeMap<String, User>,
+    tasks: impl Fn(&'a Worker) -> Vec<&'a str>,
+) -> Use {
+    let mut held = Use::default();
+    for worker in workers.values().filter(|w| !w.tasks.is_empty()) {
+        for task in tasks(worker) {
+            if let Some(user) = users.get(job_of(task)).filter(|u| u.spec.team == team) {
+                held.add(&user.spec);
+            }
+        }
+    }
+    held
+}
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -51,6 +51,8 @@
     pub by_second: BTreeMap<u64, u64>,
     /// What should never have been asked of it.
     pub problems: Vec<String>,
+    /// Jobs that a page of acceptances has named.
+    accepted: BTreeSet<String>,
 }
 
 impl Store {
@@ -75,6 +77,7 @@
             changes: 0,
             by_second: BTreeMap::new(),
             problems: vec![],
+            accepted: BTreeSet::new(),
         }
     }
 
@@ -92,6 +95,19 @@
         value.is_some_and(|v| v.phase == glenhaven::protocol::users::Phase::Cancelled)
     }
 
+    /// A job's final phase, if it has one.
+    pub fn final_phase(&self, job: &str) -> Option<glenhaven::protocol::users::Phase> {
+        use glenhaven::bookkeeping::{keys, records};
+        let entry = self.keys.get(&keys::job(job))?;
+        let value = records::from_value::<records::JobValue>(&entry.value)?;
+        Some(value.phase).filter(|phase| phase.is_final())
+    }
+
+    /// Whether a page of acceptances has ever named a job.
+    pub fn names_acceptance(&self, job: &str) -> bool {
+        self.accepted.contains(job)
+    }
+
     /// The lower limits hold from now on.
     pub fn lower(&mut self) {
         if let Some((value_kb, ops, writes)) = self.next.take() {
@@ -288,6 +304,7 @@
         for change in &txn.changes {
             match change.clone() {
                 Change::Put { key, value, lease } => {
+                    self.note_acceptances(&key, &value);
                     self.log.push(Event::Put {
                         key: key.clone(),
                         value: value.clone(),
@@ -305,6 +322,14 @@
         StoreAnswer::Committed { revision: version }
     }
 
+    fn note_acceptances(&mut self, key: &str, value: &Value) {
+        use glenhaven::bookkeeping::{keys, records};
+        if keys::parse_accepted(key).is_some() {
+            let page = records::from_value::<records::Accepted>(value).unwrap_or_default();
+            self.accepted.extend(page.jobs.into_iter().map(|spec| spec.id));
+        }
+    }
+
     /// What is kept for ever stays: a final phase; an acceptance whose job is open; pages of
     /// the book follow each other, and the present leader writes them.
     fn check_kept(&mut self, key: &str, value: &Value, txn: &Txn) {
--- a/crates/standins/src/wire.rs
+++ b/crates/standins/src/wire.rs
@@ -22,6 +22,11 @@
     error(400, "malformed")
 }
 
+/// The answer of a service that takes no request just now.
+pub fn refusal() -> Response {
+    error(503, "trouble")
+}
+
 /// A path and its query.
 struct Target<'a> {
     path: &'a str,
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -3,7 +3,7 @@
 use crate::user::{job_of, User};
 use crate::{MS, SEC};
 use glenhaven::protocol::cloud::MachineType;
-use glenhaven::protocol::users::Shape;
+use glenhaven::protocol::users::{Shape, Spec};
 use glenhaven::protocol::workers::{Cause, Direct, Order, Orders, Report, TaskPhase, TaskReport};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -25,6 +25,10 @@
     pub stops: usize,
     /// Tasks and attempts that the worker no longer knows.
     pub forgotten: Vec<(String, u64)>,
+    /// Tasks and attempts that it has begun to fetch the image for.
+    pub taken: Vec<(String, u64)>,
+    /// Those of them that it had forgotten in this session: nobody may start them again.
+    pub taken_again: Vec<(String, u64)>,
 }
 
 /// A task on a machine.
@@ -50,6 +54,7 @@
     /// Whether the cloud may take it back.
     pub spot: bool,
     cpus: f64,
+    gpus: f64,
     memory: f64,
     fetch: f64,
     /// Whether it is up.
@@ -68,6 +73,8 @@
     fence: u64,
     /// Its tasks by name and attempt.
     pub tasks: BTreeMap<(String, u64), Task>,
+    /// Attempts that were forgotten in this session.
+    forgotten: BTreeSet<(String, u64)>,
     images: BTreeSet<String>,
     /// When the last answered report was sent, or the session began.
     answered: u64,
@@ -90,6 +97,7 @@
             zone: zone.into(),
             spot,
             cpus: t.cpus,
+            gpus: t.gpus,
             memory: t.memory,
             fetch: t.fetch_gb_per_s,
             up: false,
@@ -102,6 +110,7 @@
             serial: 0,
             fence: 0,
             tasks: BTreeMap::new(),
+            forgotten: BTreeSet::new(),
             images: BTreeSet::new(),
             answered: 0,
             node: 0,
@@ -177,6 +186,17 @@
         })
     }
 
+    /// Whether a task of this job fits beside what is here.
+    pub fn has_room(&self, spec: &Spec, users: &BTreeMap<String, User>) -> bool {
+        let (cpus, memory) = self.free(users);
+        spec.cpus <= cpus && spec.memory <= memory && spec.gpus <= self.free_gpus(users)
+    }
+
+    fn free_gpus(&self, users: &BTreeMap<String, User>) -> f64 {
+        let specs = self.live().filter_map(|task| users.get(job_of(task)));
+        self.gpus - specs.map(|user| user.spec.gpus).sum::<f64>()
+    }
+
     /// Tasks that have their image and have not exited.
     pub fn on_machine(&self) -> impl Iterator<Item = &str> {
         self.tasks
@@ -208,6 +228,7 @@
         }
         let killed = self.tasks.len();
         self.tasks.clear();
+        self.forgotten.clear();
         self.session += 1;
         self.answered = now;
         self.flying = None;
@@ -348,7 +369,14 @@
         let before = self.tasks.len();
         for order in orders {
             match order {
-                Order::Start { task, attempt } => self.start(now, task, *attempt, users),
+                Order::Start { task, attempt } => {
+                    let key = (task.clone(), *attempt);
+                    if self.start(now, task, *attempt, users) {
+                        let again = self.forgotten.contains(&key);
+                        executed.taken_again.extend(again.then(|| key.clone()));
+                        executed.taken.push(key);
+                    }
+                }
                 Order::Stop { task, attempt, grace_s } => {
                     let key = (task.clone(), *attempt);
                     executed.stops += usize::from(self.stop(now, &key, *grace_s, users));
@@ -357,6 +385,7 @@
                     let key = (task.clone(), *attempt);
                     if self.tasks.get(&key).is_some_and(|t| t.phase == TaskPhase::Exited) {
                         self.tasks.remove(&key);
+                        self.forgotten.insert(key.clone());
                         executed.forgotten.push(key);
                     }
                 }
@@ -368,19 +397,23 @@
         executed
     }
 
-    fn start(&mut self, now: u64, task: &str, attempt: u64, users: &BTreeMap<String, User>) {
+    /// Whether the worker begins to fetch the task's image.
+    fn start(&mut self, now: u64, task: &str, attempt: u64, users: &BTreeMap<String, User>) -> bool {
         let key = (task.to_string(), attempt);
         if self.tasks.contains_key(&key) {
-            return;
+            return false;
         }
         let user = users.get(owner_of(task)).filter(|u| u.submitted);
         let live = |t: &Task| t.phase != TaskPhase::Exited;
         let busy = self.tasks.iter().any(|((t, _), x)| t == task && live(x));
         let (cpus, memory) = self.free(users);
+        let gpus = self.free_gpus(users);
         let refuse = match user {
             None => Some(Cause::Unknown),
             Some(_) if busy => Some(Cause::Busy),
-            Some(u) if u.spec.cpus > cpus + 1e-9 || u.spec.memory > memory + 1e-9 => Some(Cause::NoRoom),
+            Some(u) if u.spec.cpus > cpus + 1e-9 || u.spec.memory > memory + 1e-9 || u.spec.gpus > gpus + 1e-9 => {
+                Some(Cause::NoRoom)
+            }
             Some(_) => None,
         };
         let until = match user {
@@ -394,6 +427,7 @@
         };
         let cause = refuse;
         self.tasks.insert(key, Task { phase, cause, until });
+        cause.is_none()
     }
 
     /// Whether this stopped a task of a job that its user has not asked to cancel.
