A leader never sends a start that it found in the log: it may have been freed

Cause: a leader credits a team with what has exited before the log says so, and the next leader, which still finds the record, sent its start again when the machine did not list the task. Change: a start is sent only by the leadership that recorded it. Of an inherited record that a machine does not list, the machine is asked for a report under the new token, which proves it void; the task is then placed anew, under its team's limit as it is.

--- a/src/coordination/job.rs
+++ b/src/coordination/job.rs
@@ -60,6 +60,16 @@
     pub restored: bool,
 }
 
+impl Placement {
+    /// Whether this leadership may send its start. A record that was found in the log may have been
+    /// freed by the leader that made it, and its room given to other work, before that was
+    /// written: its start is never sent again. Either a machine lists the task, or the record is
+    /// proven void.
+    pub fn may_be_sent(&self) -> bool {
+        self.stage == Stage::Sent && !self.restored
+    }
+}
+
 /// A part of a job's records.
 #[derive(Clone, Debug, Default)]
 pub struct Chunk {
--- a/src/coordination/workers/direct.rs
+++ b/src/coordination/workers/direct.rs
@@ -54,6 +54,7 @@
         if machine.outbox.in_flight.is_some() || machine.addr.is_empty() {
             return;
         }
+        let asks_for_report = std::mem::take(&mut machine.outbox.asks_for_report);
         let mut due = std::mem::take(&mut machine.outbox.due);
         let leave = Leave {
             fence: lead.term(),
@@ -68,7 +69,7 @@
             return;
         };
         machine.outbox.due = due;
-        if commands.is_empty() {
+        if commands.is_empty() && !asks_for_report {
             return;
         }
         let relay = machine.via.clone().filter(|node| reached(node));
--- a/src/coordination/workers/outbox.rs
+++ b/src/coordination/workers/outbox.rs
@@ -81,6 +81,9 @@
 pub struct Outbox {
     /// Reasons for the next direct message.
     pub due: Due,
+    /// The machine is to be sent a message even if there is no command: its report in answer to
+    /// the present token proves which records of an earlier leader are void.
+    pub asks_for_report: bool,
     /// The direct message that has not been answered yet.
     pub in_flight: Option<u64>,
     /// Starts whose direct message was not answered, and the token under which they left.
@@ -94,6 +97,7 @@
     /// The worker has killed and forgotten everything: commands for its last session are refused.
     pub fn session_ended(&mut self) {
         self.due = Due::default();
+        self.asks_for_report = false;
         self.unanswered.clear();
     }
 
@@ -154,6 +158,14 @@
         });
     }
 
+    /// Asks a machine for a report under the present token.
+    pub(super) fn queue_question(&mut self, name: &MachineId) {
+        if let Some(machine) = self.machines.get_mut(name) {
+            machine.outbox.asks_for_report = true;
+            self.outboxes.insert(name.clone());
+        }
+    }
+
     fn queue(&mut self, id: &JobId, task: u32, add: impl FnOnce(&mut Due, TaskRef)) {
         let placement = self.jobs.get(id).and_then(|job| job.placed.get(&task));
         let Some(name) = placement.map(|p| p.machine.clone()) else {
@@ -227,7 +239,7 @@
         let wanted = job.is_live() && stays;
         let placement = job.placed.get_mut(&task.task)?;
         let here = placement.machine == *name && placement.session == session;
-        if !here || placement.stage != Stage::Sent {
+        if !here || !placement.may_be_sent() {
             return None;
         }
         if !wanted || placement.stop.is_some() {
--- a/src/coordination/workers/reports.rs
+++ b/src/coordination/workers/reports.rs
@@ -230,9 +230,11 @@
                     self.new_term = Some("a start that is no longer wanted may still be on its way");
                 }
             }
-            None if placement.stage == Stage::Sent => {
+            None if placement.may_be_sent() => {
                 due.starts.insert(record.clone());
             }
+            // A record of an earlier leader: a report under the present token says whether it is void.
+            None if placement.stage == Stage::Sent => self.queue_question(name),
             None => {}
         }
     }
