--- a/crates/lab/tests/small_run.rs
+++ b/crates/lab/tests/small_run.rs
@@ -1,35 +1,14 @@
 //! The program as it is called: a small experiment to its end, and what stops one before
 //! it has begun.
 
+mod common;
+
+use common::{controllers, network, runs_with, said};
 use std::net::{Ipv4Addr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Command, Output, Stdio};
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
-/// The glenhaven program beside this test's own, built with it in the workspace.
-fn controllers() -> PathBuf {
-    let lab = Path::new(env!("CARGO_BIN_EXE_glenhaven-lab"));
-    let program = lab.with_file_name("glenhaven");
-    if !program.exists() {
-        build_controllers(lab);
-    }
-    program
-}
-
-/// Builds glenhaven in the profile of this test; `cargo test --workspace` has done it.
-fn build_controllers(lab: &Path) {
-    let mut cargo = Command::new(env!("CARGO"));
-    cargo.current_dir(root()).args(["build", "--locked", "-p", "glenhaven"]);
-    if lab.parent().is_some_and(|dir| dir.ends_with("release")) {
-        cargo.arg("--release");
-    }
-    assert!(cargo.status().is_ok_and(|status| status.success()));
-}
-
-fn root() -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
-}
-
 /// A directory for one test, away at its end.
 struct Dir(PathBuf);
 
@@ -69,32 +48,6 @@
     }
 }
 
-/// An address range that other runs of these tests are not likely to use.
-fn network(test: u32) -> u8 {
-    let number = (std::process::id() * 5 + test) % 100;
-    100 + u8::try_from(number).unwrap()
-}
-
-fn text(bytes: &[u8]) -> String {
-    String::from_utf8_lossy(bytes).to_string()
-}
-
-fn said(output: &Output) -> String {
-    text(&output.stdout) + &text(&output.stderr)
-}
-
-/// Whether a process runs with this file among its arguments.
-fn runs_with(dir: &Path) -> bool {
-    let marker = dir.to_string_lossy().to_string();
-    let processes = std::fs::read_dir("/proc").unwrap().flatten();
-    processes
-        .filter_map(|entry| std::fs::read(entry.path().join("cmdline")).ok())
-        .any(|line| {
-            let line = text(&line);
-            line.contains("--config") && line.contains(&marker)
-        })
-}
-
 #[test]
 fn a_small_experiment_keeps_the_rules() {
     let dir = Dir::new("small");
--- /dev/null
+++ b/crates/standins/tests/checker.rs
@@ -0,0 +1,350 @@
+//! The checker itself: each rule, broken by a history made for it, is seen; histories that break
+//! nothing are not complained about.
+
+use glenhaven::protocol::cloud::MachineType;
+use glenhaven::protocol::store::{Change, StoreAnswer, Txn};
+use glenhaven::protocol::to_cbor;
+use glenhaven::protocol::users::{JobState, Phase, Shape, Spec};
+use glenhaven::protocol::workers::{Direct, Order};
+use glenhaven::settings::Team;
+use glenhaven_standins::evidence::{Held, Judged};
+use glenhaven_standins::rules::Rules;
+use glenhaven_standins::store::Store;
+use glenhaven_standins::user::{plain_spec, Asked, User};
+use glenhaven_standins::worker::{Executed, Worker};
+use glenhaven_standins::SEC;
+use std::collections::{BTreeMap, BTreeSet};
+
+const JOB: &str = "run-000001";
+const CANCEL_S: f64 = 10.0;
+
+/// Machines, users and the checker.
+struct World {
+    workers: BTreeMap<String, Worker>,
+    users: BTreeMap<String, User>,
+    rules: Rules,
+    results: BTreeSet<String>,
+}
+
+fn machine(name: &str, zone: &str) -> Worker {
+    let kind = MachineType {
+        name: "m".into(),
+        cpus: 16.0,
+        gpus: 4.0,
+        memory: 64.0,
+        cache_gb: 100.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 1.0,
+        boot_s: 1.0,
+        zones: vec!["a".into(), "b".into()],
+    };
+    let mut worker = Worker::new(name, "127.0.0.1:9", &kind, zone, false);
+    worker.boots(0, 0);
+    worker
+}
+
+impl World {
+    /// Two machines in zone a and one in zone b, a team with this limit and a job of it.
+    fn new(cpus_max: f64, gpus_max: f64, spec: Spec) -> World {
+        let team = Team {
+            name: "blue".into(),
+            cpus_max,
+            gpus_max,
+            ..Team::default()
+        };
+        let machines = [("n-1", "a"), ("n-2", "a"), ("n-3", "b")];
+        let mut user = User::new(spec, 100.0, false);
+        user.submitted = true;
+        World {
+            workers: machines
+                .map(|(name, zone)| (name.to_string(), machine(name, zone)))
+                .into(),
+            users: [(JOB.to_string(), user)].into(),
+            rules: Rules::new(&[team], CANCEL_S),
+            results: BTreeSet::new(),
+        }
+    }
+
+    fn order(&mut self, machine: &str, order: Order) -> Executed {
+        let worker = self.workers.get_mut(machine).expect("a machine");
+        let body = Direct {
+            fence: 1,
+            session: worker.session(),
+            orders: vec![order],
+        };
+        worker.take_direct(0, &body, &self.users).expect("taken")
+    }
+
+    fn starts(&mut self, machine: &str, task: u32, attempt: u64) -> Executed {
+        let task = format!("{JOB}/{task}");
+        let executed = self.order(machine, Order::Start { task, attempt });
+        for (task, _) in &executed.taken {
+            self.rules.start_taken(0, task, &self.workers, &self.users);
+        }
+        executed
+    }
+
+    /// Time passes: images are there, tasks begin.
+    fn runs(&mut self, now: u64) {
+        for name in ["n-1", "n-2", "n-3"] {
+            let worker = self.workers.get_mut(name).expect("a machine");
+            let progress = worker.run_tasks(now, &self.users, &mut self.results);
+            for (task, _) in progress.started {
+                self.rules.started(now, name, &task, &self.workers, &self.users);
+            }
+        }
+    }
+
+    fn broken(&self, rule: &str) -> bool {
+        self.rules.broken.iter().any(|broken| broken.starts_with(rule))
+    }
+}
+
+fn job(tasks: u32) -> Spec {
+    Spec {
+        tasks,
+        cpus: 4.0,
+        ..plain_spec(JOB)
+    }
+}
+
+#[test]
+fn a_history_that_breaks_nothing_is_not_complained_about() {
+    let mut world = World::new(8.0, 0.0, job(2));
+    world.starts("n-1", 0, 1);
+    world.starts("n-3", 1, 2);
+    world.runs(5 * SEC);
+    world.rules.look(6 * SEC, &world.workers, &world.users);
+    assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
+    assert_eq!(world.rules.starts, 2);
+}
+
+#[test]
+fn a_limit_of_cores_is_broken_when_a_task_begins() {
+    let mut world = World::new(8.0, 0.0, job(3));
+    world.starts("n-1", 0, 1);
+    world.starts("n-2", 1, 2);
+    world.runs(5 * SEC);
+    assert!(!world.broken("quota"));
+    world.starts("n-3", 2, 3);
+    // While it waits for its image, records cover it already.
+    assert!(world.broken("quota"));
+    world.rules.broken.clear();
+    world.runs(10 * SEC);
+    assert!(world.broken("quota"));
+}
+
+#[test]
+fn a_limit_of_gpus_is_broken_when_a_task_begins() {
+    let spec = Spec { gpus: 2.0, ..job(2) };
+    let mut world = World::new(100.0, 3.0, spec);
+    world.starts("n-1", 0, 1);
+    world.runs(5 * SEC);
+    assert!(!world.broken("quota"));
+    world.starts("n-2", 1, 2);
+    assert!(world.broken("quota"));
+}
+
+#[test]
+fn a_task_on_two_machines_is_seen() {
+    let mut world = World::new(0.0, 0.0, job(1));
+    world.starts("n-1", 0, 1);
+    world.runs(5 * SEC);
+    world.starts("n-2", 0, 2);
+    world.runs(10 * SEC);
+    assert!(world.broken("ran_twice"));
+}
+
+#[test]
+fn a_task_in_a_place_that_its_job_forbids_is_seen() {
+    let in_zone_b = Spec {
+        zone: Some("b".into()),
+        ..job(1)
+    };
+    let together = Spec {
+        one_zone: true,
+        ..job(2)
+    };
+    let apart = Spec { spread: true, ..job(2) };
+    for (spec, machines) in [
+        (in_zone_b, ["n-1", "n-1"]),
+        (together, ["n-1", "n-3"]),
+        (apart, ["n-1", "n-2"]),
+    ] {
+        let tasks = spec.tasks;
+        let mut world = World::new(0.0, 0.0, spec);
+        for task in 0..tasks {
+            world.starts(machines[task as usize], task, u64::from(task) + 1);
+        }
+        world.runs(5 * SEC);
+        assert!(world.broken("wrong_place"), "{machines:?}");
+    }
+}
+
+#[test]
+fn a_task_of_a_cancelled_job_is_seen() {
+    let mut world = World::new(0.0, 0.0, job(1));
+    world.starts("n-1", 0, 1);
+    world.runs(5 * SEC);
+    world.users.get_mut(JOB).expect("the job").cancelled = Some(6 * SEC);
+    world.rules.look(15 * SEC, &world.workers, &world.users);
+    assert!(!world.broken("ran_cancelled"), "it has its time to stop");
+    world.rules.look(17 * SEC, &world.workers, &world.users);
+    assert!(world.broken("ran_cancelled"));
+}
+
+#[test]
+fn an_attempt_that_begins_again_after_it_was_forgotten_is_seen() {
+    let mut world = World::new(0.0, 0.0, job(1));
+    let task = format!("{JOB}/0");
+    assert!(world.starts("n-1", 0, 1).taken_again.is_empty());
+    let (stopped, grace_s) = (task.clone(), 0.0);
+    world.order(
+        "n-1",
+        Order::Stop {
+            task: stopped,
+            attempt: 1,
+            grace_s,
+        },
+    );
+    assert!(world.starts("n-1", 0, 1).taken.is_empty(), "it is still known");
+    let forgotten = task.clone();
+    world.order(
+        "n-1",
+        Order::Forget {
+            task: forgotten,
+            attempt: 1,
+        },
+    );
+    assert!(world.starts("n-1", 0, 2).taken_again.is_empty());
+    let stopped = Order::Stop {
+        task: task.clone(),
+        attempt: 2,
+        grace_s,
+    };
+    world.order("n-1", stopped);
+    assert_eq!(world.starts("n-1", 0, 1).taken_again, [(task, 1)]);
+}
+
+/// An answer to a question, with what was held before it was sent and after it came.
+fn judged(before: Held, after: Held, asked: Asked, status: u16, phase: Phase) -> Option<String> {
+    let mut user = User::new(job(1), 1.0, false);
+    user.wants_abort = phase == Phase::Cancelled;
+    let state = JobState {
+        id: JOB.into(),
+        phase,
+        done: None,
+        running: None,
+    };
+    let results: BTreeSet<String> = [format!("{JOB}/0")].into();
+    let judged = Judged {
+        user: &user,
+        asked,
+        before,
+        after,
+        status,
+        body: &to_cbor(&state),
+        results: &results,
+    };
+    judged.problem()
+}
+
+#[test]
+fn answers_are_judged_by_what_was_held() {
+    let nothing = Held::default();
+    let open = Held {
+        accepted: true,
+        ended: None,
+    };
+    let ended = |phase| Held {
+        accepted: true,
+        ended: Some(phase),
+    };
+    let (cancelled, done) = (ended(Phase::Cancelled), ended(Phase::Done));
+    let starts = |problem: Option<String>, with: &str| {
+        assert!(problem.as_ref().is_some_and(|p| p.starts_with(with)), "{problem:?}");
+    };
+    // What is right.
+    assert_eq!(judged(nothing, open, Asked::Submit, 201, Phase::Pending), None);
+    assert_eq!(judged(open, cancelled, Asked::Poll, 200, Phase::Running), None);
+    assert_eq!(judged(open, cancelled, Asked::Abort, 200, Phase::Cancelled), None);
+    assert_eq!(judged(done, done, Asked::Poll, 200, Phase::Done), None);
+    assert_eq!(judged(nothing, open, Asked::Poll, 404, Phase::Pending), None);
+    assert_eq!(judged(done, done, Asked::Poll, 503, Phase::Pending), None);
+    // What is not.
+    starts(
+        judged(cancelled, cancelled, Asked::Submit, 200, Phase::Pending),
+        "went_back",
+    );
+    starts(judged(done, done, Asked::Poll, 200, Phase::Cancelled), "went_back");
+    starts(judged(open, open, Asked::Abort, 200, Phase::Cancelled), "went_back");
+    starts(judged(open, open, Asked::Poll, 200, Phase::Done), "went_back");
+    starts(judged(nothing, nothing, Asked::Submit, 201, Phase::Pending), "invented");
+    starts(judged(open, open, Asked::Poll, 404, Phase::Pending), "forgotten");
+    starts(judged(done, done, Asked::Submit, 422, Phase::Pending), "forgotten");
+}
+
+#[test]
+fn a_job_called_done_too_early_or_cancelled_by_nobody_is_seen() {
+    let held = |phase| Held {
+        accepted: true,
+        ended: Some(phase),
+    };
+    let problem = |spec: Spec, phase: Phase| {
+        let user = User::new(spec, 1.0, false);
+        let state = JobState {
+            id: JOB.into(),
+            phase,
+            done: None,
+            running: None,
+        };
+        let judged = Judged {
+            user: &user,
+            asked: Asked::Poll,
+            before: held(phase),
+            after: held(phase),
+            status: 200,
+            body: &to_cbor(&state),
+            results: &BTreeSet::new(),
+        };
+        judged.problem().unwrap_or_default()
+    };
+    assert!(problem(job(1), Phase::Done).starts_with("not_done"));
+    let service = Spec {
+        shape: Shape::Service,
+        ..job(0)
+    };
+    assert!(problem(service, Phase::Done).starts_with("not_done"));
+    assert!(problem(job(1), Phase::Cancelled).starts_with("went_back"));
+}
+
+#[test]
+fn the_state_service_remembers_acceptances_and_ends() {
+    use glenhaven::bookkeeping::{keys, records};
+    let mut store = Store::new(100.0, 100.0, 32, 32.0);
+    let mut put = |key: String, value| {
+        let changes = vec![Change::Put {
+            key,
+            value,
+            lease: None,
+        }];
+        let conditions = vec![];
+        let answer = store.apply(&Txn { conditions, changes });
+        assert!(matches!(answer, StoreAnswer::Committed { .. }));
+        Held::of(&store, JOB)
+    };
+    let page = records::Accepted { jobs: vec![job(1)] };
+    let held = put(keys::accepted("node-0", 0), records::to_value(&page));
+    assert_eq!((held.accepted, held.ended), (true, None));
+    let end = records::JobValue {
+        phase: Phase::Cancelled,
+        spec: None,
+    };
+    put(keys::job(JOB), records::to_value(&end));
+    let held = put(
+        keys::accepted("node-0", 0),
+        records::to_value(&records::Accepted::default()),
+    );
+    assert_eq!((held.accepted, held.ended), (true, Some(Phase::Cancelled)));
+}
