A machine is asked for a report only by the answer to its own heartbeat; tighter teams in the soak

Cause: reports told from memory at a takeover are older than the last starts, so that every machine with one would be asked at once. Change: the reason to ask stands in what is due to a heartbeat, and goes with what is dropped for a report from memory. The soak's teams get limits below what the load asks for. Result: the tests of commands and the scenarios of team limits pass.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -78,7 +78,9 @@
         }),
         Subcommands::Soak(args) => soak::run(&args).map(|outcomes| {
             let failed = outcomes.iter().filter(|outcome| !outcome.holds()).count();
-            println!("{} of {} plans held", outcomes.len() - failed, outcomes.len());
+            if outcomes.len() > 1 {
+                println!("{} of {} plans held", outcomes.len() - failed, outcomes.len());
+            }
             failed == 0
         }),
     };
--- a/crates/lab/src/soak/draw.rs
+++ b/crates/lab/src/soak/draw.rs
@@ -14,6 +14,8 @@
 pub const LONG_CALM_S: f64 = 110.0;
 const CORES: f64 = 16.0;
 const GPUS: f64 = 4.0;
+/// A service of four replicas with two cores each, and some other work, fit into a limit.
+const LEAST_LIMIT: f64 = 16.0;
 /// Troubles begin after this.
 const SETTLED_S: f64 = 6.0;
 /// A trouble follows the one before it after so long, on average.
@@ -101,13 +103,13 @@
             boot_s: range(rng, 0.5, 4.0),
             ramp_s: 2.0,
         },
-        // All teams together may take most of the machines, and ask for more than that.
+        // The load asks for about a third of all cores, so that most teams are at their limits.
         teams: Teams {
             count: teams,
-            cpus: (cores * 0.3 / teams as f64).round(),
-            cpus_max: (cores * range(rng, 0.4, 0.8) / teams as f64).round(),
+            cpus: (cores * 0.08 / teams as f64).round(),
+            cpus_max: (cores * range(rng, 0.1, 0.35) / teams as f64).round().max(LEAST_LIMIT),
             gpus: 0.0,
-            gpus_max: (workers as f64 * GPUS * range(rng, 0.1, 0.4) / teams as f64)
+            gpus_max: (workers as f64 * GPUS * range(rng, 0.05, 0.2) / teams as f64)
                 .round()
                 .max(2.0),
         },
--- a/src/coordination/workers/direct.rs
+++ b/src/coordination/workers/direct.rs
@@ -54,8 +54,8 @@
         if machine.outbox.in_flight.is_some() || machine.addr.is_empty() {
             return;
         }
-        let asks_for_report = std::mem::take(&mut machine.outbox.asks_for_report);
         let mut due = std::mem::take(&mut machine.outbox.due);
+        let asks_for_report = std::mem::take(&mut due.asks_for_report);
         let leave = Leave {
             fence: lead.term(),
             desk,
--- a/src/coordination/workers/outbox.rs
+++ b/src/coordination/workers/outbox.rs
@@ -56,12 +56,16 @@
     pub starts: BTreeSet<TaskRef>,
     /// Attempts that have ended.
     pub forgets: BTreeSet<Attempt>,
+    /// Its report in answer to the present token is wanted, even if there is no command: it proves
+    /// which records of earlier leaders are void.
+    pub asks_for_report: bool,
 }
 
 impl Due {
     /// Whether nothing is due.
     pub fn is_empty(&self) -> bool {
-        self.stops.is_empty() && self.strangers.is_empty() && self.starts.is_empty() && self.forgets.is_empty()
+        let no_commands = self.stops.is_empty() && self.strangers.is_empty();
+        no_commands && self.starts.is_empty() && self.forgets.is_empty() && !self.asks_for_report
     }
 }
 
@@ -83,9 +87,6 @@
 pub struct Outbox {
     /// Reasons for the next direct message.
     pub due: Due,
-    /// The machine is to be sent a message even if there is no command: its report in answer to
-    /// the present token proves which records of an earlier leader are void.
-    pub asks_for_report: bool,
     /// The direct message that has not been answered yet.
     pub in_flight: Option<u64>,
     /// Starts whose direct message was not answered, and the token under which they left.
@@ -99,7 +100,6 @@
     /// The worker has killed and forgotten everything: commands for its last session are refused.
     pub fn session_ended(&mut self) {
         self.due = Due::default();
-        self.asks_for_report = false;
         self.unanswered.clear();
     }
 
@@ -161,9 +161,9 @@
     }
 
     /// Asks a machine for a report under the present token.
-    pub(super) fn queue_question(&mut self, name: &MachineId) {
+    fn queue_question(&mut self, name: &MachineId) {
         if let Some(machine) = self.machines.get_mut(name) {
-            machine.outbox.asks_for_report = true;
+            machine.outbox.due.asks_for_report = true;
             self.outboxes.insert(name.clone());
         }
     }
@@ -184,6 +184,9 @@
     /// Commands in the answer to a machine's report, which says what is due.
     pub fn commands_in_answer(&mut self, name: &MachineId, mut due: Due, leave: &Leave) -> Vec<Order> {
         let commands = self.build_commands(name, &mut due, leave);
+        if due.asks_for_report {
+            self.queue_question(name);
+        }
         let Some(machine) = self.machines.get_mut(name) else {
             return commands;
         };
--- a/src/coordination/workers/reports.rs
+++ b/src/coordination/workers/reports.rs
@@ -237,7 +237,7 @@
                 due.starts.insert(record.clone());
             }
             // A record of an earlier leader: a report under the present token says whether it is void.
-            None if placement.stage == Stage::Sent => self.queue_question(name),
+            None if placement.stage == Stage::Sent => due.asks_for_report = true,
             None => {}
         }
     }
--- a/tests/sim/outbox.rs
+++ b/tests/sim/outbox.rs
@@ -176,10 +176,9 @@
     (placement.restored, placement.sent) = (true, true);
     leader.term_raised(2);
     let due = leader.take_heartbeat(&site(), &fenced(2, 1), None, at(100), at(100));
-    assert!(due.is_empty(), "{due:?}");
+    assert!(due.starts.is_empty(), "{due:?}");
+    assert!(due.asks_for_report, "nobody asks the machine for a report");
     assert!(leaves(&mut leader, 2, &Desk::new("node-0")).is_empty());
-    let machine = &leader.machines["n-000001"];
-    assert!(machine.outbox.asks_for_report, "nobody asks the machine for a report");
     assert!(is_placed(&leader), "an earlier token proves nothing");
     leader.take_heartbeat(&site(), &fenced(3, 2), None, at(200), at(200));
     assert!(!is_placed(&leader));
