--- a/src/coordination/book.rs
+++ b/src/coordination/book.rs
@@ -66,6 +66,8 @@
     /// The last decisions about starts.
     pub decisions: Decisions,
     pub next_invariants: Micros,
+    /// Broken invariants that are not counted by the process yet.
+    pub broken_invariants: u64,
     /// Teams whose tasks were seen to exceed their limits.
     pub over_limit: BTreeSet<String>,
     /// Every cancellation that was confirmed before this is in the book.
@@ -140,6 +142,7 @@
             first_term: term,
             decisions: Decisions::default(),
             next_invariants: now,
+            broken_invariants: 0,
             over_limit: BTreeSet::new(),
             proven: Micros::ZERO,
             unsettled: BTreeSet::new(),
@@ -340,6 +343,7 @@
         };
         if !proof.covers(placement) {
             tracing::error!(job = %id, task, ?proof, ?placement, "a record is to be freed without proof");
+            self.broken_invariants += 1;
             return;
         }
         self.decisions
--- a/src/coordination/invariants.rs
+++ b/src/coordination/invariants.rs
@@ -23,9 +23,8 @@
         }
         self.next_invariants = now + EVERY;
         self.look_at_limits(site);
-        for job in self.jobs.values() {
-            look_at_counts(job);
-        }
+        let miscounted = self.jobs.values().filter(|job| !is_counted_right(job)).count();
+        self.broken_invariants += miscounted as u64;
     }
 
     /// No team's tasks, as machines list them since this leadership began, exceed its limit. What an
@@ -40,6 +39,7 @@
         let over: Vec<String> = listed.keys().filter(|team| exceeds(team)).cloned().collect();
         for team in &over {
             if self.over_limit.insert(team.clone()) {
+                self.broken_invariants += 1;
                 self.tell_over_limit(site, team, listed[team]);
             }
         }
@@ -86,9 +86,11 @@
 }
 
 /// What is counted of a job as it changes is what its records say.
-fn look_at_counts(job: &Job) {
+fn is_counted_right(job: &Job) -> bool {
     let records = job.holding().count();
-    if records != job.held as usize {
+    let right = records == job.held as usize;
+    if !right {
         tracing::error!(job = %job.id, held = job.held, records, "a job's count differs from its records");
     }
+    right
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -107,6 +107,8 @@
     last_batch: Micros,
     /// The longest time between two batches since the last log.
     longest_pause: Micros,
+    /// Invariants that were seen broken in this life of the process.
+    broken_invariants: u64,
     began: Micros,
     /// When changes were refused lately because there were too many.
     limited: VecDeque<Micros>,
@@ -155,6 +157,7 @@
             next_log: now,
             last_batch: now,
             longest_pause: Micros::ZERO,
+            broken_invariants: 0,
             began: now,
             limited: VecDeque::new(),
         };
--- a/src/coordination/tick.rs
+++ b/src/coordination/tick.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Invariants that were seen broken in this life of the process (`invariants.rs`).
+    pub fn broken_invariants(&self) -> u64 {
+        self.broken_invariants
+    }
+
     /// Whose token this controller acts under, up to which revision it has read the state
     /// service, how long answers took, and how long this process did nothing: it tells a slow
     /// service from a controller that waits for its processor.
@@ -88,6 +93,7 @@
             jobs_seen = self.lead.jobs_seen_if_known(),
             round_trips = ?self.sh.store.take_round_trips(),
             longest_pause_ms = longest_pause.0 / 1000,
+            broken_invariants = self.broken_invariants,
             "state service"
         );
     }
@@ -109,6 +115,7 @@
         }
         leader.tick_machines(&mut self.sh, &self.site, sure);
         leader.look_at_invariants(&self.site, self.sh.now);
+        self.broken_invariants += std::mem::take(&mut leader.broken_invariants);
         leader.schedule(&mut self.sh, &self.site);
         // A leader that may have been deposed returns no machines: the next one
         // may be using them.
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -360,11 +360,23 @@
             Ev::Look => {
                 self.rules.look_at_services(self.now, &self.workers, &self.users);
                 self.look_for_starving();
+                self.look_at_invariants();
                 self.after(SEC, Ev::Look);
             }
         }
     }
 
+    /// What the controllers themselves saw broken.
+    fn look_at_invariants(&mut self) {
+        for node in &self.nodes {
+            let broken = node.core.as_ref().map_or(0, |core| core.broken_invariants());
+            if broken > 0 {
+                let text = format!("invariant: {} broken at {} by {}", broken, node.settings.node, self.now);
+                self.rules.broken.push(text);
+            }
+        }
+    }
+
     /// Whether a node and a machine can reach each other.
     pub fn reaches(&self, n: usize, machine: &str) -> bool {
         let Some(w) = self.workers.get(machine) else {
--- a/tests/sim/workers.rs
+++ b/tests/sim/workers.rs
@@ -136,6 +136,13 @@
     /// Notes what a worker did by the orders that it got.
     fn note_executed(&mut self, carrier: &Carrier, machine: &str, orders: &[Order], executed: Executed) {
         self.rules.stops += executed.stops;
+        for (task, _) in &executed.taken {
+            self.rules.start_taken(self.now, task, &self.workers, &self.users);
+        }
+        for (task, attempt) in &executed.taken_again {
+            let text = format!("started_again: {machine} takes {task} attempt {attempt}, which it had forgotten");
+            self.rules.broken.push(text);
+        }
         for (task, attempt) in executed.forgotten {
             self.answers.forgotten(machine, &task, attempt);
         }
