Work is stopped for its own team's production only if that lets some of it start

Cause: where a team's limit was what production waited for, lesser work was stopped for as many cores as the waiting tasks take, whether or not the limit would then admit one, and cores for GPUs. What was stopped started again at once, for ever. Change: work is taken away until the excess over the limit is gone, in cores and GPUs; if that can't be, nothing is stopped.

--- a/src/coordination/placement/preemption.rs
+++ b/src/coordination/placement/preemption.rs
@@ -4,6 +4,7 @@
 use super::super::{JobId, Site};
 use super::rooms::Room;
 use super::rules::{allowed, takes_leftovers};
+use super::team_use::TeamUse;
 use super::{Pass, EPS};
 use crate::protocol::users::{Priority, Spec};
 use crate::time::Micros;
@@ -29,7 +30,7 @@
                 let fits = |r: &Room| r.fits(&spec) && self.allows(&spec, r);
                 pass.looks += pass.rooms.len();
                 if pass.rooms.iter().any(fits) {
-                    victims = self.own_victims(&spec, priority, wanted);
+                    victims = self.own_victims(&pass.held, site, &spec, priority, wanted);
                 }
             }
         } else {
@@ -127,9 +128,16 @@
         list
     }
 
-    /// Work of lower priority of the job's own team, where the team's limit is
-    /// what the job waits for.
-    pub(super) fn own_victims(&self, spec: &Spec, priority: Priority, wanted: usize) -> Vec<(JobId, u32)> {
+    /// Work of lower priority of the job's own team, where the team's limit is what the job
+    /// waits for: as much as lets its tasks start, and nothing if none could start even so.
+    pub(super) fn own_victims(
+        &self,
+        held: &TeamUse,
+        site: &Site,
+        spec: &Spec,
+        priority: Priority,
+        wanted: usize,
+    ) -> Vec<(JobId, u32)> {
         let mut list: Vec<Victim> = self
             .machines
             .keys()
@@ -137,15 +145,19 @@
             .filter(|v| v.team == spec.team)
             .collect();
         list.sort_by_key(|v| (v.fresh, v.priority, std::cmp::Reverse(v.since)));
-        let mut missing = spec.cpus * wanted as f64;
+        let mut excess = Excess::of(held, site, spec);
         let mut chosen = vec![];
-        for v in list {
-            if missing <= EPS {
+        for _ in 0..wanted {
+            excess.add(spec);
+            let found = excess.remove(&list);
+            if excess.is_over() {
                 break;
             }
-            missing -= v.takes.0;
-            if v.fresh {
-                chosen.push((v.job, v.task));
+            for index in found.into_iter().rev() {
+                let victim = list.remove(index);
+                if victim.fresh {
+                    chosen.push((victim.job, victim.task));
+                }
             }
         }
         chosen
@@ -190,3 +202,46 @@
     /// CPUs, GPUs and memory it gives back.
     takes: (f64, f64, f64),
 }
+
+/// What a team holds beyond its limit, in CPUs and GPUs; below zero it has room.
+struct Excess {
+    cpus: f64,
+    gpus: f64,
+}
+
+impl Excess {
+    fn of(held: &TeamUse, site: &Site, spec: &Spec) -> Excess {
+        let (cpus, gpus) = held.of_team(&spec.team);
+        let (max_cpus, max_gpus) = site.limits(&spec.team);
+        Excess {
+            cpus: cpus - max_cpus,
+            gpus: gpus - max_gpus,
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        self.cpus > EPS || self.gpus > EPS
+    }
+
+    /// One more task is to start.
+    fn add(&mut self, spec: &Spec) {
+        self.cpus += spec.cpus;
+        self.gpus += spec.gpus;
+    }
+
+    /// Tasks are taken away, the first of the list first, until nothing is in excess; those that
+    /// take nothing of what is stay. Which ones, in the order of the list.
+    fn remove(&mut self, list: &[Victim]) -> Vec<usize> {
+        let mut found = vec![];
+        for (index, victim) in list.iter().enumerate() {
+            let (cpus, gpus, _) = victim.takes;
+            let helps = (self.cpus > EPS && cpus > 0.0) || (self.gpus > EPS && gpus > 0.0);
+            if helps {
+                self.cpus -= cpus;
+                self.gpus -= gpus;
+                found.push(index);
+            }
+        }
+        found
+    }
+}
