--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -189,17 +189,8 @@
 impl Experiment {
     /// Reads and checks an experiment file.
     pub fn load(path: &Path) -> Result<Experiment, LabError> {
-        let text = std::fs::read_to_string(path).map_err(|source| LabError::Unreadable {
-            path: path.to_path_buf(),
-            source,
-        })?;
-        let wrong = |message: String| LabError::Experiment {
-            path: path.to_path_buf(),
-            message,
-        };
-        let experiment: Experiment =
-            toml::from_str(&text).map_err(|e| wrong(e.to_string().trim().replace('\n', " ")))?;
-        experiment.check().map_err(wrong)?;
+        let experiment: Experiment = read_toml(path)?;
+        experiment.check().map_err(|message| wrong(path, message))?;
         Ok(experiment)
     }
 
@@ -250,6 +241,23 @@
     }
 }
 
+/// Reads a file that says what is played.
+pub fn read_toml<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T, LabError> {
+    let text = std::fs::read_to_string(path).map_err(|source| LabError::Unreadable {
+        path: path.to_path_buf(),
+        source,
+    })?;
+    toml::from_str(&text).map_err(|e| wrong(path, e.to_string().trim().replace('\n', " ")))
+}
+
+/// What is wrong with such a file.
+pub fn wrong(path: &Path, message: String) -> LabError {
+    LabError::Experiment {
+        path: path.to_path_buf(),
+        message,
+    }
+}
+
 /// A duration that an experiment file names; nothing for what is none.
 pub fn seconds(seconds: f64) -> Duration {
     Duration::try_from_secs_f64(seconds).unwrap_or_default()
--- a/crates/lab/src/soak/draw.rs
+++ b/crates/lab/src/soak/draw.rs
@@ -171,26 +171,23 @@
         let lease_s = experiment.workers.lease_s;
         let long = rng.u8(0..4) == 0;
         let most_s = if long { lease_s * 1.4 } else { lease_s * 0.5 };
-        let for_s = range(rng, 0.05, most_s);
-        let trouble = draw_trouble(experiment, rng);
-        troubles.push(PlannedTrouble {
-            at_s: (at_s * 100.0).round() / 100.0,
-            for_s,
-            trouble,
-        });
+        troubles.push(draw_planned(experiment, at_s, most_s, rng));
         // Some meet another one at the same moment.
         if rng.u8(0..3) == 0 {
-            let for_s = range(rng, 0.05, lease_s);
-            let trouble = draw_trouble(experiment, rng);
-            troubles.push(PlannedTrouble {
-                at_s: (at_s * 100.0).round() / 100.0,
-                for_s,
-                trouble,
-            });
+            troubles.push(draw_planned(experiment, at_s, lease_s, rng));
         }
     }
 }
 
+/// A trouble that begins at this time and lasts so long at most.
+fn draw_planned(experiment: &Experiment, at_s: f64, most_s: f64, rng: &mut Rng) -> PlannedTrouble {
+    PlannedTrouble {
+        at_s: (at_s * 100.0).round() / 100.0,
+        for_s: range(rng, 0.05, most_s),
+        trouble: draw_trouble(experiment, rng),
+    }
+}
+
 fn draw_trouble(experiment: &Experiment, rng: &mut Rng) -> Trouble {
     let workers = experiment.workers.count;
     let some = |rng: &mut Rng| rng.usize(1..=(workers / 10).max(2));
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -1,7 +1,7 @@
 //! The plan of one soak: an experiment, and troubles with their times.
 
 use crate::errors::LabError;
-use crate::experiment::Experiment;
+use crate::experiment::{read_toml, wrong, Experiment};
 use crate::faults::{LinkFault, Party, Route};
 use serde::{Deserialize, Serialize};
 use std::path::Path;
@@ -64,16 +64,8 @@
 impl Plan {
     /// Reads and checks a plan.
     pub fn load(path: &Path) -> Result<Plan, LabError> {
-        let text = std::fs::read_to_string(path).map_err(|source| LabError::Unreadable {
-            path: path.to_path_buf(),
-            source,
-        })?;
-        let wrong = |message: String| LabError::Experiment {
-            path: path.to_path_buf(),
-            message,
-        };
-        let plan: Plan = toml::from_str(&text).map_err(|e| wrong(e.to_string().trim().replace('\n', " ")))?;
-        plan.check().map_err(wrong)?;
+        let plan: Plan = read_toml(path)?;
+        plan.check().map_err(|message| wrong(path, message))?;
         Ok(plan)
     }
 
--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -53,3 +53,11 @@
             line.contains("--config") && line.contains(&marker)
         })
 }
+
+/// A new directory for one test.
+pub fn new_directory(program: &str, test: &str) -> PathBuf {
+    let name = format!("glenhaven-{program}-{test}-{}", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&path).unwrap();
+    path
+}
--- a/crates/lab/tests/small_run.rs
+++ b/crates/lab/tests/small_run.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{controllers, network, runs_with, said};
+use common::{controllers, network, new_directory, runs_with, said};
 use std::net::{Ipv4Addr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
@@ -14,9 +14,7 @@
 
 impl Dir {
     fn new(name: &str) -> Dir {
-        let path = std::env::temp_dir().join(format!("glenhaven-lab-{name}-{}", std::process::id()));
-        std::fs::create_dir_all(&path).unwrap();
-        Dir(path)
+        Dir(new_directory("lab", name))
     }
 
     /// The small experiment with addresses of this test's own.
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{controllers, network, runs_with, said};
+use common::{controllers, network, new_directory, runs_with, said};
 use std::net::{Ipv4Addr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
@@ -19,9 +19,7 @@
 
 impl Dir {
     fn new(name: &str) -> Dir {
-        let path = std::env::temp_dir().join(format!("glenhaven-soak-{name}-{}", std::process::id()));
-        std::fs::create_dir_all(&path).unwrap();
-        Dir(path)
+        Dir(new_directory("soak", name))
     }
 
     fn soak(&self, network: u8, program: &Path) -> Command {
