Soak: a job is left waiting only if there was room for it all the time

The rule is about room that is there for 90 s; so is the runner's own check. Now room, and the limit, are looked at every second, and any second without them begins anew.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::experiment::Experiment;
 use crate::history::History;
+use crate::soak::stranded::Stranded;
 use async_channel::Sender;
 use glenhaven::protocol::cloud::MachineType;
 use glenhaven::settings::Team;
@@ -48,6 +49,8 @@
     pub terms: Vec<FirstOfTerm>,
     /// What happened last, for the report of a break.
     pub history: History,
+    /// Jobs that are left waiting, in a soak.
+    pub stranded: Stranded,
     next_request: u64,
 }
 
@@ -100,6 +103,7 @@
             zones_out: BTreeSet::new(),
             terms: vec![],
             history: History::default(),
+            stranded: Stranded::default(),
             next_request: 0,
         }
     }
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -5,6 +5,7 @@
 mod outcome;
 mod plan;
 mod run;
+pub mod stranded;
 mod troubles;
 mod users;
 
--- a/crates/lab/src/soak/run.rs
+++ b/crates/lab/src/soak/run.rs
@@ -1,7 +1,7 @@
 //! Plays one plan from its beginning to its outcome.
 
 use super::draw;
-use super::outcome::{error_lines, stranded, Outcome};
+use super::outcome::{error_lines, Outcome};
 use super::plan::Plan;
 use super::troubles::happen;
 use super::users::{ask, live, Cancels};
@@ -24,6 +24,7 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// The emulator sleeps so long; what it sleeps longer it is behind.
 const NAP: Duration = Duration::from_millis(50);
+const ONCE_A_SECOND: Duration = Duration::from_secs(1);
 /// A controller has to answer about each accepted job within this.
 const KNOWN: Duration = Duration::from_secs(75);
 /// Accepted jobs about which each controller is asked at the end.
@@ -108,10 +109,13 @@
     lab.faults.end();
     let calm_since = lab.now();
     lab.note(|| "all troubles are over".into());
+    let stranding = lab.executor.spawn(look_for_stranded(lab.clone()));
     let unknown_after_troubles = audit(&lab).await;
     let audited = Duration::from_micros(lab.now() - calm_since);
     ended.extend(watch(&lab, seconds(plan.calm_s).saturating_sub(audited)).await);
-    let stranded = (plan.calm_s >= draw::LONG_CALM_S).then(|| stranded(&lab, calm_since));
+    drop(stranding);
+    let stranded = std::mem::take(&mut lab.fleet().stranded).found();
+    let stranded = (plan.calm_s >= draw::LONG_CALM_S).then_some(stranded);
     Ok(outcome(
         &lab,
         &plan,
@@ -179,6 +183,18 @@
     ended
 }
 
+/// Looks once a second for jobs that are left waiting, for ever.
+async fn look_for_stranded(lab: Arc<Lab>) {
+    loop {
+        Timer::after(ONCE_A_SECOND).await;
+        let now = lab.now();
+        let mut fleet = lab.fleet();
+        let mut stranded = std::mem::take(&mut fleet.stranded);
+        stranded.look(now, &fleet);
+        fleet.stranded = stranded;
+    }
+}
+
 /// Submits the jobs of one kind until their time is over.
 async fn submit(lab: Arc<Lab>, load: Load, numbers: Arc<Numbers>, users: super::plan::Users) {
     let until = load.until_s.unwrap_or(lab.experiment.duration_s);
