Tests choose ports that outgoing connections can't take

Its port was chosen among those that the system gives to outgoing connections, and released until the process began; a port that a connection goes out from can't be bound (tried: address in use). The process's own log went with the test, so that this is the likely cause and not a proven one. Change: ports of tests come from below that range, by process and number.

--- a/tests/net/mod.rs
+++ b/tests/net/mod.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::net::{TcpListener, TcpStream};
 use std::process::Child;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -223,8 +224,24 @@
     .await
 }
 
+/// Ports for processes under test lie below those that the system gives to outgoing connections:
+/// one of those could take a port between its choice and the start of the process.
+const FIRST_PORT: u32 = 12_000;
+const PORTS: u32 = 18_000;
+
+/// Ports chosen so far by this process.
+static CHOSEN: AtomicU32 = AtomicU32::new(0);
+
+/// A port on which nothing listens, and that this process has not chosen before.
 pub fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+    let first = std::process::id().wrapping_mul(97);
+    loop {
+        let number = first.wrapping_add(CHOSEN.fetch_add(1, Ordering::Relaxed));
+        let port = u16::try_from(FIRST_PORT + number % PORTS).unwrap();
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 pub struct Process(pub Child);
