Review, case 3: a start after a confirmed cancellation

Cause: a conflict on a transaction with an unknown outcome names the jobs that have ended; the leader drops the names and starts their tasks once the probe shows that the first copy was executed.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Runs the case; exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+exec ../standins/target/release/start_after_cancellation ../..
