--- a/review/standins/src/controllers.rs
+++ b/review/standins/src/controllers.rs
@@ -151,6 +151,12 @@
         children.filter_map(|(n, child)| ended(child).then_some(n)).collect()
     }
 
+    /// Returns all addresses that the controllers listen on.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let public = self.nodes.iter().map(|(_, address)| *address);
+        public.chain(self.peers.iter().copied()).collect()
+    }
+
     /// Returns the process id of a controller.
     pub fn pid(&self, n: usize) -> Option<u32> {
         self.children[n].as_ref().map(Child::id)
--- a/review/standins/src/platform.rs
+++ b/review/standins/src/platform.rs
@@ -86,6 +86,8 @@
         for n in 0..settings.count {
             controllers.start(n);
         }
+        let pids: Vec<Option<u32>> = (0..settings.count).map(|n| controllers.pid(n)).collect();
+        record.note(format!("started {pids:?}, listening at {:?}", controllers.addresses()));
         let is_ready = controllers.wait_until_ready(Duration::from_secs(15));
         let platform = Platform {
             record,
