--- a/review/standins/src/controllers.rs
+++ b/review/standins/src/controllers.rs
@@ -30,12 +30,17 @@
     /// The names, with the public addresses.
     pub nodes: Vec<(String, SocketAddr)>,
     peers: Vec<SocketAddr>,
+    /// Keep the controllers' ports from others until the controllers start.
+    reserved: Vec<TcpListener>,
     children: Vec<Option<Child>>,
 }
 
-fn free_port() -> SocketAddr {
+/// Reserves a free port.
+fn reserve(reserved: &mut Vec<TcpListener>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free loopback port");
-    listener.local_addr().expect("the address of a bound socket")
+    let address = listener.local_addr().expect("the address of a bound socket");
+    reserved.push(listener);
+    address
 }
 
 impl Controllers {
@@ -54,12 +59,18 @@
             .collect();
         let folder = std::env::temp_dir().join(format!("glenhaven-review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
+        let mut reserved = vec![];
+        let nodes = (0..count)
+            .map(|n| (format!("worker-{n}"), reserve(&mut reserved)))
+            .collect();
+        let peers = (0..count).map(|_| reserve(&mut reserved)).collect();
         Controllers {
             root: root.to_path_buf(),
             folder,
             command,
-            nodes: (0..count).map(|n| (format!("worker-{n}"), free_port())).collect(),
-            peers: (0..count).map(|_| free_port()).collect(),
+            nodes,
+            peers,
+            reserved,
             children: (0..count).map(|_| None).collect(),
         }
     }
@@ -116,6 +127,11 @@
         }
     }
 
+    /// Frees the reserved ports, just before the controllers start.
+    pub fn free_ports(&mut self) {
+        self.reserved.clear();
+    }
+
     /// Starts a controller.
     pub fn start(&mut self, n: usize) {
         let log = std::fs::File::options()
--- a/review/standins/src/platform.rs
+++ b/review/standins/src/platform.rs
@@ -83,6 +83,7 @@
         let state = StateService::start(settings.state, settings.count, record.clone());
         let cloud = Cloud::new(types, &settings.yards, settings.cloud.1, shared.clone());
         controllers.write_settings(settings, &state.addresses, cloud.start());
+        controllers.free_ports();
         for n in 0..settings.count {
             controllers.start(n);
         }
