Rent a machine for a waiting job that no machine can take

Cause: two parts of provisioning each left such a job to the other. The periodic decision rents nothing for one missing spot core or less. The decision for single jobs left it to the periodic one while the totals were insufficient, knew only jobs for which the scheduler had looked for a machine (without machines there are no slots, and without a slot it does not look), and ignored less than half a core. No timer ended the state.

Change: `jobs_without_machine` says who is answerable for a waiting job. The scheduler is, while a machine that is up, booting or claimed can take a task of it, now or when the arrays on it have ended; otherwise provisioning rents a machine after 2 s, however few cores are missing. The thresholds for jobs that some machine can take are unchanged. The decision for single jobs also respects the limit of GPUs. The summary of each team logs `without_machine_cpus`.

--- a/crates/fakes/src/cloud.rs
+++ b/crates/fakes/src/cloud.rs
@@ -36,6 +36,8 @@
     /// The number of machines of one type, one zone and one kind (spot or not) that can be rented
     /// at the same time.
     pub capacity: u32,
+    /// The same number for spot machines, if it differs.
+    pub spot_capacity: Option<u32>,
     /// Machines in one page of the list.
     pub page_size: usize,
     lag: u64,
@@ -56,6 +58,7 @@
             claims: BTreeMap::new(),
             machines: BTreeMap::new(),
             capacity,
+            spot_capacity: None,
             page_size: DEFAULT_PAGE_SIZE,
             lag,
             last_number: 0,
@@ -127,7 +130,9 @@
                 && m.spot == rent.spot
         };
         let used = self.machines.values().filter(kind).count() as u32;
-        let count = rent.count.min(self.capacity.saturating_sub(used));
+        let spot_capacity = self.spot_capacity.filter(|_| rent.spot);
+        let capacity = spot_capacity.unwrap_or(self.capacity);
+        let count = rent.count.min(capacity.saturating_sub(used));
         if rent.count == 0 || rent.count > 50 {
             self.problems.push(format!(
                 "claim {} asks for {} machines; 1 to 50 are allowed",
--- a/src/coordination/cluster_config.rs
+++ b/src/coordination/cluster_config.rs
@@ -7,7 +7,7 @@
 use crate::settings::{Settings, Team};
 use crate::time::Micros;
 use glenhaven_store_limits::Limits;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The settings and facts that all components read.
 pub struct ClusterConfig {
@@ -32,6 +32,12 @@
         }
     }
 
+    /// The zones of the cloud's catalogue, in order.
+    pub fn zones(&self) -> Vec<String> {
+        let zones: BTreeSet<&String> = self.catalogue.values().flat_map(|t| &t.zones).collect();
+        zones.into_iter().cloned().collect()
+    }
+
     /// The number of controllers, this one included.
     pub fn nodes(&self) -> usize {
         self.settings.peers.len() + 1
--- a/src/coordination/provisioning/demand.rs
+++ b/src/coordination/provisioning/demand.rs
@@ -8,6 +8,7 @@
 use super::super::scheduling::{is_best_effort, latest_start};
 use super::super::state::{Job, LeaderState, Machine, MachineState, PlacementPhase};
 use super::super::ClusterConfig;
+use crate::protocol::cloud::MachineType;
 use crate::protocol::users::{JobSpec, Priority};
 use crate::time::Micros;
 use glenhaven_zone_health::Evacuation;
@@ -122,14 +123,8 @@
             let Some(machine_type) = cluster.catalogue.get(&machine.machine_type) else {
                 continue;
             };
-            let counted = if machine.state == MachineState::Booting && had_agent_contact {
-                let age = now.since(machine.known_since);
-                let profile = self.provisioning.boot_times.profile(machine);
-                profile.counted_share(age, machine_type.boot_s)
-            } else {
-                1.0
-            };
             if self.is_usable(cluster, machine, now) {
+                let counted = self.counted_share(machine, machine_type, had_agent_contact, now);
                 *supply.of_mut(machine.spot) += machine_type.cpus * counted;
             }
         }
@@ -142,8 +137,24 @@
         supply
     }
 
+    /// Returns the share of a machine, 0 to 1, that counts as supply: all of it unless its boot is
+    /// late. `had_agent_contact` is as for [`LeaderState::supplied_cores`].
+    pub(super) fn counted_share(
+        &self,
+        machine: &Machine,
+        machine_type: &MachineType,
+        had_agent_contact: bool,
+        now: Micros,
+    ) -> f64 {
+        if machine.state != MachineState::Booting || !had_agent_contact {
+            return 1.0;
+        }
+        let profile = self.provisioning.boot_times.profile(machine);
+        profile.counted_share(now.since(machine.known_since), machine_type.boot_s)
+    }
+
     /// Returns whether a machine can take new work now or when it has booted.
-    fn is_usable(&self, cluster: &ClusterConfig, machine: &Machine, now: Micros) -> bool {
+    pub(super) fn is_usable(&self, cluster: &ClusterConfig, machine: &Machine, now: Micros) -> bool {
         // Only another controller still has contact with the machine: its tasks continue, but it
         // takes no new work.
         let is_proxied_only = machine.last_proxied_at > machine.last_heartbeat
--- /dev/null
+++ b/src/coordination/provisioning/jobs_without_machine.rs
@@ -0,0 +1,166 @@
+//! Finds the waiting jobs that no machine can take, so that exactly one part of the leader is
+//! answerable for each job that waits.
+//!
+//! - The scheduler is answerable while a machine that is up, booting or claimed can take one of the
+//!   job's tasks, at once or when the arrays on it have ended.
+//! - Otherwise `stuck` rents a machine for the job, however few cores are missing.
+//!
+//! The periodic decision (`scaling`) may rent earlier, but answers for no single job: it compares
+//! totals, and leaves a small or expensive shortfall to the machines that there are.
+//!
+//! Invariant: whether a job is without a machine depends on the machines and on the job alone, not
+//! on whether the scheduler had slots to consider the job.
+
+use super::super::scheduling::{allowed, open_zones};
+use super::super::state::{Job, LeaderState, Machine, MachineId, MachineState, Resources, ROUNDING_TOLERANCE};
+use super::super::{ClusterConfig, JobId};
+use crate::protocol::cloud::MachineType;
+use crate::protocol::users::Priority;
+use crate::time::Micros;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Time between two searches for jobs without a machine.
+const SEARCH_INTERVAL: Micros = Micros::from_millis(1000);
+
+/// The properties of machines that jobs have rules about.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct RoomKind<'a> {
+    machine_type: &'a str,
+    zone: &'a str,
+    spot: bool,
+}
+
+/// What a machine has for tasks of one job, now or when the arrays on it have ended.
+struct Room<'a> {
+    /// `None` for a machine that is claimed and has no name yet.
+    machine: Option<&'a MachineId>,
+    resources: Resources,
+    /// Whether the machine is an on-demand machine with replicas of services.
+    shared_with_services: bool,
+}
+
+/// The room on all machines that can take new work, booting and claimed ones included.
+#[derive(Default)]
+struct Rooms<'a> {
+    by_kind: BTreeMap<RoomKind<'a>, Vec<Room<'a>>>,
+    /// Cores that work below production may use on machines shared with services.
+    beside_services: f64,
+}
+
+impl<'a> Rooms<'a> {
+    fn add(&mut self, kind: RoomKind<'a>, room: Room<'a>) {
+        if room.shared_with_services {
+            self.beside_services += room.resources.cpus;
+        }
+        self.by_kind.entry(kind).or_default().push(room);
+    }
+
+    /// Returns whether any machine in these zones (`None`: in any zone) can take a task of the job.
+    fn can_take(&self, job: &Job, zones: Option<&[String]>) -> bool {
+        let allows = |kind: &RoomKind| {
+            zones.is_none_or(|zones| zones.iter().any(|zone| zone == kind.zone))
+                && allowed(&job.spec, kind.machine_type, kind.zone, kind.spot)
+        };
+        let mut allowed_kinds = self.by_kind.iter().filter(|(kind, _)| allows(kind));
+        allowed_kinds.any(|(_, rooms)| rooms.iter().any(|room| self.fits(room, job)))
+    }
+
+    fn fits(&self, room: &Room, job: &Job) -> bool {
+        let is_reserve_kept = !room.shared_with_services
+            || job.spec.priority >= Priority::Production
+            || self.beside_services + ROUNDING_TOLERANCE >= job.spec.cpus;
+        let has_failed = room.machine.is_some_and(|name| job.failed_machines.contains(name));
+        room.resources.fits(&job.spec) && is_reserve_kept && !has_failed
+    }
+}
+
+impl LeaderState {
+    /// Updates [`Job::without_machine_since`] of all jobs, if a search is due. `had_agent_contact`
+    /// is as for [`LeaderState::supplied_cores`].
+    pub(super) fn find_jobs_without_machine(&mut self, cluster: &ClusterConfig, had_agent_contact: bool, now: Micros) {
+        if now < self.provisioning.next_search_at {
+            return;
+        }
+        self.provisioning.next_search_at = now + SEARCH_INTERVAL;
+        let without_machine = self.jobs_without_machine(cluster, had_agent_contact, now);
+        for job in self.jobs.values_mut() {
+            job.without_machine_since = if without_machine.contains(&job.id) {
+                job.without_machine_since.or(Some(now))
+            } else {
+                None
+            };
+        }
+    }
+
+    fn jobs_without_machine(&self, cluster: &ClusterConfig, had_agent_contact: bool, now: Micros) -> BTreeSet<JobId> {
+        let rooms = self.rooms(cluster, had_agent_contact, now);
+        let all_zones = cluster.zones();
+        let is_without = |job: &&Job| {
+            let zones = open_zones(job, &self.machines, &all_zones);
+            !rooms.can_take(job, zones.as_deref())
+        };
+        self.jobs
+            .values()
+            .filter(|job| job.may_run() && !job.waiting.is_empty() && !job.is_suspect(now))
+            .filter(is_without)
+            .map(|job| job.id.clone())
+            .collect()
+    }
+
+    fn rooms<'a>(&'a self, cluster: &'a ClusterConfig, had_agent_contact: bool, now: Micros) -> Rooms<'a> {
+        let mut rooms = Rooms {
+            by_kind: BTreeMap::new(),
+            beside_services: -self.service_reserve(),
+        };
+        for machine in self.machines.values() {
+            let Some(machine_type) = cluster.catalogue.get(&machine.machine_type) else {
+                continue;
+            };
+            let is_expected = self.counted_share(machine, machine_type, had_agent_contact, now) > 0.0;
+            if is_expected && self.is_usable(cluster, machine, now) {
+                let kind = RoomKind {
+                    machine_type: &machine.machine_type,
+                    zone: &machine.zone,
+                    spot: machine.spot,
+                };
+                rooms.add(kind, self.room(machine, machine_type));
+            }
+        }
+        for claim in self.provisioning.unanswered_claims() {
+            let is_cut_off = self.failures.zones.is_cut_off(&claim.zone);
+            if let (Some(machine_type), false) = (cluster.catalogue.get(&claim.machine_type), is_cut_off) {
+                let kind = RoomKind {
+                    machine_type: &claim.machine_type,
+                    zone: &claim.zone,
+                    spot: claim.spot,
+                };
+                let room = Room {
+                    machine: None,
+                    resources: Resources::of_machine(machine_type),
+                    shared_with_services: false,
+                };
+                rooms.add(kind, room);
+            }
+        }
+        rooms
+    }
+
+    /// Returns the room on a machine: all of it, less what services use, which do not end.
+    fn room<'a>(&self, machine: &'a Machine, machine_type: &MachineType) -> Room<'a> {
+        let mut resources = Resources::of_machine(machine_type);
+        if machine.service_tasks > 0 {
+            let jobs = machine.tasks.iter().filter_map(|(id, task)| {
+                let job = self.jobs.get(id).filter(|job| job.is_service())?;
+                job.placements.get(task).filter(|p| p.uses_resources()).map(|_| job)
+            });
+            for job in jobs {
+                resources -= Resources::of_task(&job.spec);
+            }
+        }
+        Room {
+            machine: Some(&machine.name),
+            resources,
+            shared_with_services: machine.service_tasks > 0 && !machine.spot && machine.state == MachineState::Up,
+        }
+    }
+}
--- a/src/coordination/provisioning/mod.rs
+++ b/src/coordination/provisioning/mod.rs
@@ -15,6 +15,7 @@
 pub mod cost_benefit;
 mod demand;
 mod failed_machines;
+mod jobs_without_machine;
 mod scale_in;
 mod scale_out;
 mod scaling;
@@ -64,6 +65,8 @@
     /// that not all machines are examined for every batch.
     to_release: BTreeSet<MachineId>,
     next_decision_at: Micros,
+    /// When jobs without a machine are due to be searched for again.
+    next_search_at: Micros,
     /// When the cost and benefit of on-demand machines are due to be compared again.
     next_cost_benefit_at: Micros,
     /// Exponentially decaying average of the demand of work that may use spot machines, in cores.
@@ -87,6 +90,7 @@
             releases_in_flight: 0,
             to_release: BTreeSet::new(),
             next_decision_at: now,
+            next_search_at: now,
             next_cost_benefit_at: now,
             average_spot_demand: 0.0,
             averaged_at: None,
--- a/src/coordination/provisioning/scaling.rs
+++ b/src/coordination/provisioning/scaling.rs
@@ -44,6 +44,7 @@
         let target = self.target_cores(cluster, demand, now);
         let supply = self.supplied_cores(cluster, had_agent_contact, now);
         self.scale_out(cluster, now, target, supply);
+        self.find_jobs_without_machine(cluster, had_agent_contact, now);
         let is_total_sufficient = supply.total() >= demand.total();
         self.rent_for_stuck_jobs(cluster, now, is_total_sufficient);
         self.release_idle(cluster, now, target, supply);
--- a/src/coordination/provisioning/stuck.rs
+++ b/src/coordination/provisioning/stuck.rs
@@ -1,10 +1,12 @@
-//! Rentals for jobs that fit on no machine although the total number of cores is sufficient.
+//! Rentals for single jobs, for which the periodic decision rents nothing because it compares only
+//! totals.
 //!
-//! Rules about zones or machine types, or fragmented free capacity, keep these jobs waiting; the
-//! periodic decision compares only totals and rents nothing for them.
+//! - No machine can take the job (see `jobs_without_machine`).
+//! - The job fits on no machine although the total number of cores is sufficient: because of rules
+//!   about zones or machine types, or because the free capacity is fragmented.
 
 use super::super::scheduling::{allowed, is_best_effort, open_zones, usage_by_team, TeamUsage};
-use super::super::state::{Job, LeaderState, MachineState};
+use super::super::state::{Job, LeaderState, MachineState, Resources};
 use super::super::ClusterConfig;
 use super::demand::effective_cores;
 use super::scale_out::Rental;
@@ -18,7 +20,10 @@
 /// Time for which any other job must have fit on no machine before a machine is rented for it, in
 /// seconds.
 const STUCK_AFTER_S: f64 = 6.0;
-/// A machine is rented only if at least this number of cores is missing.
+/// Time for which no machine can take a job before a machine is rented for it, in seconds.
+const STUCK_AFTER_IF_WITHOUT_MACHINE_S: f64 = 2.0;
+/// For a job that some machine can take, another one is rented only if at least this number of
+/// cores is missing.
 const MIN_MISSING_CORES: f64 = 0.5;
 
 /// A job that fits on no machine.
@@ -30,6 +35,8 @@
     /// Cores that its waiting tasks need, within its team's limit.
     cores: f64,
     spot_only: bool,
+    /// Whether no machine can take the job.
+    is_without_machine: bool,
 }
 
 impl StuckJob {
@@ -37,6 +44,15 @@
         self.open_zones.as_ref().is_none_or(|zones| zones.contains(zone))
     }
 
+    /// Returns whether a machine is to be rented if pending machines leave these cores missing.
+    fn needs_rental(&self, missing: f64) -> bool {
+        if self.is_without_machine {
+            missing >= self.cores
+        } else {
+            missing >= MIN_MISSING_CORES
+        }
+    }
+
     /// Returns the values of [`Rental::spot`] to try, the preferred one first.
     fn spot_values(&self) -> &'static [bool] {
         match (self.spec.spot, self.spot_only) {
@@ -62,12 +78,13 @@
     ///
     /// Only one machine is rented per decision, because waiting tasks also start as others exit.
     /// `is_total_sufficient` is whether the total number of cores is sufficient. If it is not, the
-    /// periodic decision rents, and only jobs with a rule about zones or machine types are
-    /// considered here.
+    /// periodic decision rents, and only jobs with a rule about zones or machine types and jobs that
+    /// no machine can take are considered here.
     pub(super) fn rent_for_stuck_jobs(&mut self, cluster: &ClusterConfig, now: Micros, is_total_sufficient: bool) {
         let mut pending = self.pending_cores(cluster, now);
         for stuck in self.stuck_jobs(cluster, now, is_total_sufficient) {
-            if assign_pending(&mut pending, &stuck) < MIN_MISSING_CORES {
+            let missing = assign_pending(&mut pending, &stuck);
+            if !stuck.needs_rental(missing) {
                 continue;
             }
             for spot in stuck.spot_values() {
@@ -78,6 +95,12 @@
                     zones: stuck.open_zones.as_deref(),
                 };
                 if self.rent_where(cluster, now, &rental) {
+                    tracing::debug!(
+                        job = stuck.spec.id,
+                        missing_cores = missing,
+                        without_machine = stuck.is_without_machine,
+                        "rental for a waiting job"
+                    );
                     return;
                 }
             }
@@ -116,9 +139,7 @@
 
     /// Returns the stuck jobs, the oldest first.
     fn stuck_jobs(&self, cluster: &ClusterConfig, now: Micros, is_total_sufficient: bool) -> Vec<StuckJob> {
-        let mut zones: Vec<String> = cluster.catalogue.values().flat_map(|t| t.zones.clone()).collect();
-        zones.sort();
-        zones.dedup();
+        let zones = cluster.zones();
         let usage = usage_by_team(&self.jobs);
         let mut stuck: Vec<StuckJob> = self
             .jobs
@@ -140,9 +161,15 @@
         zones: &[String],
         now: Micros,
     ) -> Option<StuckJob> {
-        let used = usage.get(&job.spec.team).map_or(0.0, |usage| usage.cpus);
-        let left_of_limit = cluster.limits(&job.spec.team).0 - used;
-        if left_of_limit < job.spec.cpus {
+        let (cpus_limit, gpus_limit) = cluster.limits(&job.spec.team);
+        let (used_cpus, used_gpus) = usage.get(&job.spec.team).map_or((0.0, 0.0), |u| (u.cpus, u.gpus));
+        let left_of_limit = cpus_limit - used_cpus;
+        let left = Resources {
+            cpus: left_of_limit,
+            gpus: gpus_limit - used_gpus,
+            memory_gb: f64::INFINITY,
+        };
+        if !left.fits(&job.spec) {
             return None;
         }
         let waiting = job.waiting.len() as f64;
@@ -152,12 +179,26 @@
             open_zones: open_zones(job, &self.machines, zones),
             cores: (waiting * effective_cores(&job.spec, cluster)).min(left_of_limit),
             spot_only: is_best_effort(cluster, job, now),
+            is_without_machine: job.without_machine_since.is_some(),
         })
     }
 }
 
 /// Returns whether a job has fit on no machine for long enough that a machine is rented for it.
 fn is_stuck(job: &Job, now: Micros, is_total_sufficient: bool) -> bool {
+    let may_start = job.may_run() && !job.waiting.is_empty() && !job.is_suspect(now);
+    may_start && (is_without_machine(job, now) || is_unplaceable(job, now, is_total_sufficient))
+}
+
+fn is_without_machine(job: &Job, now: Micros) -> bool {
+    let stuck_after = Micros::from_secs(STUCK_AFTER_IF_WITHOUT_MACHINE_S);
+    job.without_machine_since.is_some_and(|at| now.since(at) > stuck_after)
+}
+
+/// Returns whether the scheduler has found no machine for a job for long enough. If the total
+/// number of cores isn't sufficient, the periodic decision rents for jobs without a rule about zones
+/// or machine types.
+fn is_unplaceable(job: &Job, now: Micros, is_total_sufficient: bool) -> bool {
     let spec = &job.spec;
     let is_constrained = spec.one_zone || spec.spread || spec.zone.is_some() || spec.machine_types.is_some();
     let stuck_after = Micros::from_secs(if is_constrained {
@@ -165,11 +206,7 @@
     } else {
         STUCK_AFTER_S
     });
-    job.unplaceable_since.is_some_and(|at| now.since(at) > stuck_after)
-        && (is_constrained || is_total_sufficient)
-        && job.may_run()
-        && !job.waiting.is_empty()
-        && !job.is_suspect(now)
+    job.unplaceable_since.is_some_and(|at| now.since(at) > stuck_after) && (is_constrained || is_total_sufficient)
 }
 
 /// Assigns suitable pending cores to a job, and returns the cores that are still missing.
--- a/src/coordination/state/job.rs
+++ b/src/coordination/state/job.rs
@@ -223,6 +223,9 @@
     pub arrival_unknown: bool,
     /// Since when no machine that is up has had enough free resources for one of the job's tasks.
     pub unplaceable_since: Option<Micros>,
+    /// Since when no machine that is up, booting or claimed can take one of the job's waiting tasks,
+    /// even when the arrays on it have ended. Set by provisioning.
+    pub without_machine_since: Option<Micros>,
 }
 
 impl Job {
@@ -279,6 +282,7 @@
             restored: false,
             arrival_unknown: false,
             unplaceable_since: None,
+            without_machine_since: None,
             spec,
         }
     }
--- a/src/coordination/state/resources.rs
+++ b/src/coordination/state/resources.rs
@@ -3,6 +3,7 @@
 //! Amounts are floating-point numbers, added and subtracted task by task in the order of events, so
 //! that two controllers that process the same events arrive at the same sums.
 
+use crate::protocol::cloud::MachineType;
 use crate::protocol::users::JobSpec;
 
 /// The bound on the rounding error of sums of amounts.
@@ -29,6 +30,15 @@
         }
     }
 
+    /// Returns the amounts that an empty machine of this type has.
+    pub fn of_machine(machine_type: &MachineType) -> Resources {
+        Resources {
+            cpus: machine_type.cpus,
+            gpus: machine_type.gpus,
+            memory_gb: machine_type.memory,
+        }
+    }
+
     /// Whether one task of the job fits into these amounts.
     pub fn fits(&self, spec: &JobSpec) -> bool {
         self.cpus + ROUNDING_TOLERANCE >= spec.cpus
--- a/src/coordination/summary.rs
+++ b/src/coordination/summary.rs
@@ -26,6 +26,8 @@
     exited: f64,
     /// The cores that the waiting tasks need.
     waiting: f64,
+    /// The part of `waiting` that no machine can take that is up, booting or claimed.
+    without_machine: f64,
     /// How long the oldest job with waiting tasks has waited.
     oldest_wait: Micros,
 }
@@ -37,7 +39,11 @@
             self.add_placement(placement, job.spec.cpus);
         }
         if job.may_run() && !job.waiting.is_empty() {
-            self.waiting += job.waiting.len() as f64 * job.spec.cpus;
+            let waiting = job.waiting.len() as f64 * job.spec.cpus;
+            self.waiting += waiting;
+            if job.without_machine_since.is_some() {
+                self.without_machine += waiting;
+            }
             self.oldest_wait = self.oldest_wait.max(now.since(job.arrived_at));
         }
     }
@@ -130,6 +136,7 @@
                 guaranteed = team.cpus,
                 limit = team.cpus_max,
                 waiting_cpus = usage.waiting,
+                without_machine_cpus = usage.without_machine,
                 oldest_wait_s = usage.oldest_wait.secs(),
                 "team"
             );
--- a/tests/sim/cloud.rs
+++ b/tests/sim/cloud.rs
@@ -57,6 +57,7 @@
     }
 
     fn rent(&mut self, rent: ProvisionRequest) -> CloudResponse {
+        self.unserved_jobs.machines_requested(&rent, self.now);
         let count = match self.cloud.rent(&rent) {
             Rental::Answered(answer) => return answer,
             Rental::Machines(count) => count,
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -21,6 +21,7 @@
 mod state_service;
 mod steps;
 mod stranded_jobs;
+mod unserved_jobs;
 pub(crate) mod users;
 
 use glenhaven::coordination::{Controller, Effect, Event};
@@ -64,7 +65,7 @@
     EndFaults(usize),
     Throttle(usize),
     Start(usize),
-    /// The periodic check of services, stranded jobs and the controllers' own invariants.
+    /// The periodic check of services, stranded and unserved jobs, and the controllers' own invariants.
     Query,
 }
 
@@ -174,6 +175,7 @@
     pub rules: rules::Rules,
     pub answers: answers::Answers,
     pub stranded_jobs: stranded_jobs::StrandedJobs,
+    pub unserved_jobs: unserved_jobs::UnservedJobs,
     pub close_queries: close_queries::CloseQueries,
     pub script: script::Script,
     pub active_faults: ActiveFaults,
@@ -230,6 +232,7 @@
             rules: rules::Rules::new(&script.base.params.teams, script.base.params.workers.cancel_s),
             answers: answers::Answers::new(&script),
             stranded_jobs: stranded_jobs::StrandedJobs::default(),
+            unserved_jobs: unserved_jobs::UnservedJobs::default(),
             close_queries: close_queries::CloseQueries::default(),
             active_faults: ActiveFaults {
                 zone_of,
@@ -394,6 +397,7 @@
             ScheduledEvent::Query => {
                 self.rules.check_services(self.now, &self.workers, &self.users);
                 self.check_stranded_jobs();
+                self.check_unserved_jobs();
                 self.check_invariants();
                 self.after(SEC, ScheduledEvent::Query);
             }
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -150,6 +150,9 @@
     pub zones: Vec<String>,
     pub types: Vec<MachineType>,
     pub capacity: u32,
+    /// The number of spot machines of one type and zone that can be rented, if it differs from
+    /// `capacity`.
+    pub spot_capacity: Option<u32>,
     pub dead_boots: u32,
     /// Whether packets between hosts that can't reach each other are delivered once they can,
     /// instead of being lost.
@@ -261,6 +264,7 @@
             zones: vec!["a".into(), "b".into(), "a".into()],
             types: vec![],
             capacity: 20,
+            spot_capacity: None,
             dead_boots: 0,
             held_packets: false,
             steps: vec![],
@@ -330,6 +334,9 @@
             "list-lag" => p.cloud.list_lag_s = w.word(1)?.parse().map_err(|_| "list-lag is not a number of seconds")?,
             "held-packets" => self.held_packets = true,
             "capacity" => self.capacity = w.word(1)?.parse().map_err(|_| "the capacity is not a number")?,
+            "spot-capacity" => {
+                self.spot_capacity = Some(w.word(1)?.parse().map_err(|_| "the spot capacity is not a number")?)
+            }
             "dead-boots" => self.dead_boots = w.word(1)?.parse().map_err(|_| "dead-boots is not a number")?,
             "workers" => {
                 p.workers.report_s = w.num("report", p.workers.report_s)?;
@@ -558,7 +565,9 @@
     /// Returns the cloud at the beginning of the scenario.
     pub(crate) fn cloud(&self) -> Cloud {
         let lag = (self.base.params.cloud.list_lag_s * SEC as f64) as u64;
-        Cloud::new(self.types.clone(), self.capacity, self.dead_boots, lag)
+        let mut cloud = Cloud::new(self.types.clone(), self.capacity, self.dead_boots, lag);
+        cloud.spot_capacity = self.spot_capacity;
+        cloud
     }
 
     /// Returns the settings of every controller.
--- a/tests/sim/stranded_jobs.rs
+++ b/tests/sim/stranded_jobs.rs
@@ -20,15 +20,15 @@
 }
 
 /// Where the tasks of all jobs are.
-struct Places<'a> {
+pub(super) struct Places<'a> {
     /// The number of tasks by job and zone.
-    by_job: BTreeMap<&'a str, BTreeMap<&'a str, u32>>,
+    pub(super) by_job: BTreeMap<&'a str, BTreeMap<&'a str, u32>>,
     /// The CPUs that each team's tasks occupy.
-    by_team: BTreeMap<&'a str, f64>,
+    pub(super) by_team: BTreeMap<&'a str, f64>,
 }
 
 impl Places<'_> {
-    fn of(world: &World) -> Places<'_> {
+    pub(super) fn of(world: &World) -> Places<'_> {
         let mut places = Places {
             by_job: BTreeMap::new(),
             by_team: BTreeMap::new(),
@@ -46,16 +46,17 @@
     }
 }
 
+/// Returns whether a job's rules allow this type, zone and kind (spot or not) of machines.
+pub(super) fn allows(spec: &JobSpec, machine_type: &String, zone: &str, spot: bool) -> bool {
+    spec.machine_types.as_ref().is_none_or(|t| t.contains(machine_type))
+        && spec.zone.as_ref().is_none_or(|only| only == zone)
+        && (spec.spot || !spot)
+}
+
 /// Returns how many more tasks of this job a machine has room for.
 fn room(world: &World, worker: &Worker, spec: &JobSpec) -> u32 {
     let usable = worker.up && world.now >= worker.hangs_until && worker.reclaimed_at.is_none() && !worker.faulty;
-    let allowed = spec
-        .machine_types
-        .as_ref()
-        .is_none_or(|t| t.contains(&worker.machine_type))
-        && spec.zone.as_ref().is_none_or(|zone| *zone == worker.zone)
-        && (spec.spot || !worker.spot);
-    if !usable || !allowed {
+    if !usable || !allows(spec, &worker.machine_type, &worker.zone, worker.spot) {
         return 0;
     }
     let (cpus, memory) = worker.free(&world.users);
@@ -63,13 +64,13 @@
 }
 
 /// Returns how many tasks of a job have completed.
-fn completed_tasks(world: &World, job: &str) -> u32 {
+pub(super) fn completed_tasks(world: &World, job: &str) -> u32 {
     let all = world.results.range(format!("{job}/")..format!("{job}0"));
     all.count() as u32
 }
 
 /// Returns whether a job is accepted and unfinished, with all its dependencies completed.
-fn is_waiting(world: &World, user: &User) -> bool {
+pub(super) fn is_waiting(world: &World, user: &User) -> bool {
     let need_done = |need: &String| {
         let needed = world.users.get(need);
         needed.is_some_and(|u| completed_tasks(world, need) == u.spec.tasks)
@@ -78,21 +79,34 @@
     user.accepted.is_some() && !over && user.spec.dependencies.iter().all(need_done)
 }
 
+impl Places<'_> {
+    /// Returns how many tasks of a job are on no machine and have not completed.
+    pub(super) fn waiting_tasks(&self, world: &World, spec: &JobSpec) -> u32 {
+        let placed: u32 = self
+            .by_job
+            .get(spec.id.as_str())
+            .map_or(0, |zones| zones.values().sum());
+        spec.tasks.saturating_sub(placed + completed_tasks(world, &spec.id))
+    }
+
+    /// Returns whether the limit of the job's team admits this many more of its tasks.
+    pub(super) fn limit_admits(&self, world: &World, spec: &JobSpec, count: u32) -> bool {
+        let held = self.by_team.get(spec.team.as_str()).copied().unwrap_or(0.0);
+        let limit = world.rules.limit(&spec.team);
+        limit.is_none_or(|limit| held + f64::from(count) * spec.cpus <= limit + 1e-9)
+    }
+}
+
 /// Returns whether some of the job's waiting tasks could begin: within the limit of its team and
 /// its zone rules, and with room on the machines.
 fn could_begin(world: &World, places: &Places, spec: &JobSpec) -> bool {
     let none = BTreeMap::new();
     let zones = places.by_job.get(spec.id.as_str()).unwrap_or(&none);
     let placed: u32 = zones.values().sum();
-    let waiting = spec.tasks.saturating_sub(placed + completed_tasks(world, &spec.id));
-    if waiting == 0 {
-        return false;
-    }
+    let waiting = places.waiting_tasks(world, spec);
     // All tasks of a gang begin together.
     let count = if spec.one_zone { waiting } else { 1 };
-    let held = places.by_team.get(spec.team.as_str()).copied().unwrap_or(0.0);
-    let limit = world.rules.limit(&spec.team);
-    if limit.is_some_and(|limit| held + f64::from(count) * spec.cpus > limit + 1e-9) {
+    if waiting == 0 || !places.limit_admits(world, spec, count) {
         return false;
     }
     let mut rooms: BTreeMap<&str, u32> = BTreeMap::new();
