Cancel the jobs that a conflict names, also while the outcome is in doubt

Cause: the leader loses the answer to the transaction that records a start, and sends it again. The conflict of the copy names the job's own key, which exists only once the job has ended. While the outcome was in doubt, the conflict served only to begin the probe and the named keys were dropped; the probe showed that the first copy had been executed, and the start was sent. Second cause on the same path: an unanswered probe was repeated by itself, and shows no cancellation made meanwhile.

Change: the jobs that a conflict names are cancelled before the outcome is applied, except for keys that the transaction itself writes while it is in doubt. After an unanswered probe the transaction is sent again, whose conflict names what has ended since. A start of a cancelled job is then freed as never sent, by the path that the watch uses.

New fault of the simulation: `lose-read-replies`.

--- a/src/coordination/log/answers.rs
+++ b/src/coordination/log/answers.rs
@@ -5,6 +5,10 @@
 //! two copies can be executed. If the conditions of a copy then fail, either the other copy was
 //! executed or neither copy can be executed any more. A probe then reads a key that only leaders
 //! write, whose version shows which of the two is the case.
+//!
+//! Invariant: a conflict that names the key of a job marks the job as cancelled before the outcome
+//! of the transaction is applied, so that a start whose record turns out to be durable is not sent
+//! for a job that is known to have ended.
 
 use super::super::election::StepDownReason;
 use super::super::state::LeaderState;
@@ -25,8 +29,8 @@
 const BACKOFF_AFTER_REFUSAL: Micros = Micros::from_millis(40);
 /// Pause before an unanswered transaction is sent again.
 const BACKOFF_AFTER_TIMEOUT: Micros = Micros::from_millis(20);
-/// Pause before an unanswered probe is sent again.
-const BACKOFF_BEFORE_NEXT_PROBE: Micros = Micros::from_millis(60);
+/// Pause before a transaction is sent again whose probe was not answered.
+const BACKOFF_AFTER_FAILED_PROBE: Micros = Micros::from_millis(60);
 
 impl Controller {
     /// Handles an answer of the state service to a request of the leader.
@@ -122,15 +126,15 @@
         };
         if pending.outcome_unknown {
             // Either an earlier copy was executed or no copy can be executed any more; a probe
-            // shows which.
+            // shows which. An earlier copy also changes the keys that it writes.
             let key = pending.probe_key();
+            let changed_by_others: Vec<&String> = failed.iter().filter(|key| !pending.writes(key)).collect();
+            leader.cancel_ended_jobs(changed_by_others, now);
             leader.probe(&mut self.context, key);
             return;
         }
         leader.undo_transaction(now);
-        for id in failed.iter().filter_map(|key| key.strip_prefix(keys::JOBS)) {
-            leader.cancel(id, now);
-        }
+        leader.cancel_ended_jobs(failed, now);
         if failed.iter().any(|key| key.starts_with(keys::LOG_SEGMENTS)) {
             self.step_down(StepDownReason::LogMismatch);
         } else if failed.iter().any(|key| key == keys::TERM) && !self.election.is_writing_term() {
@@ -163,7 +167,11 @@
             // The transaction was never executed and can't be any more, because one of its
             // conditions has failed permanently. The watches deliver the change that made it fail.
             StoreResponse::Row(_) | StoreResponse::Missing { .. } => leader.undo_transaction(self.context.now),
-            _ => leader.probe_later(&mut self.context, key),
+            // Jobs may have ended since the conflict: the repeated transaction names their keys.
+            _ => {
+                let pause = self.context.jitter(BACKOFF_AFTER_FAILED_PROBE);
+                leader.log_writer.resend_at = Some(self.context.now + pause);
+            }
         }
     }
 }
@@ -193,20 +201,18 @@
         self.log_writer.resend_at = Some(context.now + context.jitter(BACKOFF_AFTER_TIMEOUT));
     }
 
+    /// Cancels the jobs whose own keys are among these. A job's key changes while the job is open
+    /// only if the job is cancelled.
+    fn cancel_ended_jobs<'a>(&mut self, keys: impl IntoIterator<Item = &'a String>, now: Micros) {
+        for id in keys.into_iter().filter_map(|key| key.strip_prefix(keys::JOBS)) {
+            self.cancel(id, now);
+        }
+    }
+
     /// Reads a key that shows whether the transaction in flight was executed.
     fn probe(&self, context: &mut Context, key: String) {
         let request = StoreRequest::Get { key };
         let continuation = Continuation::Log(self.incarnation, LogContinuation::Probe);
         context.store.push(Urgency::Start, request, continuation, PROBE_TIMEOUT);
     }
-
-    /// Reads the key again after a pause.
-    fn probe_later(&self, context: &mut Context, key: String) {
-        let at = context.now + context.jitter(BACKOFF_BEFORE_NEXT_PROBE);
-        let request = StoreRequest::Get { key };
-        let continuation = Continuation::Log(self.incarnation, LogContinuation::Probe);
-        context
-            .store
-            .push_at(at, Urgency::Start, request, continuation, PROBE_TIMEOUT);
-    }
 }
--- a/src/coordination/log/transaction.rs
+++ b/src/coordination/log/transaction.rs
@@ -111,6 +111,11 @@
         self.txn.changes.push(Change::Put { key, value, lease });
     }
 
+    /// Whether the transaction changes this key.
+    pub(super) fn writes(&self, key: &str) -> bool {
+        self.txn.changes.iter().any(|change| change.key() == key)
+    }
+
     /// Whether the transaction records a start of this task.
     pub(super) fn records_start(&self, job: &JobId, task: u32) -> bool {
         self.starts.iter().any(|s| s.task == task && s.job == *job)
--- a/tests/sim/one_way_faults.rs
+++ b/tests/sim/one_way_faults.rs
@@ -49,6 +49,8 @@
     /// This share of the transactions that write a key with this prefix is executed at once, and
     /// only the reply is lost.
     LoseWriteReplies(f64, String),
+    /// This share of the replies to reads of one key with this prefix is lost.
+    LoseReadReplies(f64, String),
     /// Copies of this share of the heartbeats are kept, and reach every controller when the next
     /// leader begins to lead.
     ReplayReports(f64),
@@ -98,6 +100,10 @@
                 let prefix = words.named.get("key").unwrap_or(&"");
                 OneWayFault::LoseWriteReplies(share()?, prefix.to_string())
             }
+            "lose-read-replies" => {
+                let prefix = words.named.get("key").unwrap_or(&"");
+                OneWayFault::LoseReadReplies(share()?, prefix.to_string())
+            }
             "replay-reports" => OneWayFault::ReplayReports(share()?),
             "block-outbound" => OneWayFault::BlockOutbound(MachineSelection::parse(words)?),
             "late-commands" => OneWayFault::LateCommands(share()?),
@@ -132,6 +138,7 @@
 #[derive(Default)]
 pub(crate) struct ActiveOneWayFaults {
     lost_replies: BTreeMap<usize, (f64, String)>,
+    lost_read_replies: BTreeMap<usize, (f64, String)>,
     replayed_reports: BTreeMap<usize, f64>,
     blocked_outbound: BTreeMap<usize, BTreeSet<String>>,
     late_commands: BTreeMap<usize, f64>,
@@ -151,6 +158,7 @@
     /// Ends the fault of a step. Reports that are kept for the next leader stay.
     pub(crate) fn end_faults(&mut self, step: usize) {
         self.lost_replies.remove(&step);
+        self.lost_read_replies.remove(&step);
         self.replayed_reports.remove(&step);
         self.blocked_outbound.remove(&step);
         self.late_commands.remove(&step);
@@ -160,6 +168,12 @@
     }
 }
 
+/// Returns the largest share of the faults whose key prefix applies.
+fn largest_share(faults: &BTreeMap<usize, (f64, String)>, applies: impl Fn(&str) -> bool) -> f64 {
+    let applicable = faults.values().filter(|(_, prefix)| applies(prefix));
+    applicable.map(|(share, _)| *share).fold(0.0, f64::max)
+}
+
 impl World {
     /// Returns the names of the running machines that a fault affects.
     fn machines(&self, which: &MachineSelection) -> BTreeSet<String> {
@@ -186,6 +200,12 @@
                     .lost_replies
                     .insert(step, (*share, prefix.clone()));
             }
+            OneWayFault::LoseReadReplies(share, prefix) => {
+                self.active_faults
+                    .one_way
+                    .lost_read_replies
+                    .insert(step, (*share, prefix.clone()));
+            }
             OneWayFault::ReplayReports(share) => {
                 self.active_faults.one_way.replayed_reports.insert(step, *share);
             }
@@ -237,12 +257,16 @@
         drawn
     }
 
-    /// Returns whether a transaction is executed and its reply lost.
-    pub(crate) fn loses_write_reply(&mut self, txn: &Transaction) -> bool {
-        let writes = |prefix: &str| txn.changes.iter().any(|c| c.key().starts_with(prefix));
-        let shares = self.active_faults.one_way.lost_replies.values();
-        let share = shares.filter(|(_, prefix)| writes(prefix)).map(|(share, _)| *share);
-        let share = share.fold(0.0, f64::max);
+    /// Returns whether a request is executed and its reply lost.
+    pub(crate) fn loses_reply(&mut self, request: &StoreRequest) -> bool {
+        let faults = &self.active_faults.one_way;
+        let share = match request {
+            StoreRequest::Transaction(Transaction { changes, .. }) => largest_share(&faults.lost_replies, |prefix| {
+                changes.iter().any(|change| change.key().starts_with(prefix))
+            }),
+            StoreRequest::Get { key } => largest_share(&faults.lost_read_replies, |prefix| key.starts_with(prefix)),
+            _ => 0.0,
+        };
         self.draw(share)
     }
 
--- a/tests/sim/state_service.rs
+++ b/tests/sim/state_service.rs
@@ -92,7 +92,7 @@
                 }
                 self.store.answer(&request, now)
             } else {
-                lost = matches!(&request, StoreRequest::Transaction(txn) if self.loses_write_reply(txn));
+                lost = self.loses_reply(&request);
                 self.store.answer(&request, now)
             }
         };
