Search small jobs on idle clusters; two known faults as scenarios

The searches draw busy clusters only, so that a job for which nothing is rented was never drawn. `idle_clusters.rs` draws a few small jobs, far apart, on a cluster with one machine type that is otherwise idle, with machines taken back, failed boots, faulty machines, the leader's end, and a lost answer to a transaction followed by a cut, with a cancellation in between. It checks every rule and that each job that is not cancelled runs in the end. A machine may now be faulty for a limited time.

--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod fairness;
 mod fault_combinations;
 pub(crate) mod fault_injection;
+mod idle_clusters;
 mod lease_renewal;
 pub(crate) mod links;
 mod matrix;
@@ -112,6 +113,8 @@
     pub late_writes: BTreeMap<usize, (f64, String)>,
     /// Share of the heartbeats of which a copy arrives late, at any controller.
     pub late_reports: BTreeMap<usize, f64>,
+    /// Machines on which every task fails.
+    pub faulty_machines: BTreeMap<usize, BTreeSet<String>>,
     /// Controllers that process nothing while their clocks run on.
     pub frozen: BTreeMap<usize, usize>,
     /// Controllers that are cut off from `all`, `state`, `workers` or `peers`.
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -48,7 +48,7 @@
     Kill(usize),
     /// All spot machines are reclaimed after a notice of this many seconds.
     SpotNotice(u64),
-    /// Tasks fail on this many machines.
+    /// Tasks fail on this many machines, for good if the step has no duration.
     Faulty(usize),
     /// Tasks take four times as long on this many machines.
     Slow(usize),
--- a/tests/sim/steps.rs
+++ b/tests/sim/steps.rs
@@ -119,11 +119,9 @@
                 }
             }
             Action::Faulty(count) => {
-                for name in self.busiest(count) {
-                    if let Some(w) = self.workers.get_mut(&name) {
-                        w.faulty = true;
-                    }
-                }
+                let machines = self.busiest(count);
+                self.set_faulty(&machines, true);
+                self.active_faults.faulty_machines.insert(i, machines);
             }
             Action::Slow(count) => {
                 let now = self.now;
@@ -223,8 +221,20 @@
         }
     }
 
+    /// Makes machines faulty or sound.
+    fn set_faulty(&mut self, machines: &BTreeSet<String>, faulty: bool) {
+        for name in machines {
+            if let Some(worker) = self.workers.get_mut(name) {
+                worker.faulty = faulty;
+            }
+        }
+    }
+
     /// Ends the faults that a step began.
     pub(crate) fn end_faults(&mut self, i: usize) {
+        if let Some(machines) = self.active_faults.faulty_machines.remove(&i) {
+            self.set_faulty(&machines, false);
+        }
         self.resume(i);
         self.close_queries.end_faults(i);
         let faults = &mut self.active_faults;
