Give a suspect job a machine for the task with which it is tried

Cause: two failed machines were taken for proof of a mistake in the job. From then on demand, pools, the search for jobs without a machine, the rentals for single jobs, the evacuation of zones and reservations each left the job to another part of the leader. Logs of the case: `waiting=1 up=0 booting=0`, `without_machine_cpus=0.0`, no claim.

Change: `state/job_failures.rs` keeps a job's failures by machine and asks what other work proves about the machine. A suspect job is tried with one task, after a backoff that doubles up to 64 s, on machines that other work speaks for or where it has not failed. If none can take the task, one machine is rented for it. 30 s after the backoff it claims capacity for one task like any other job (`Job::claimed_tasks`, used by every part named above). The task that is tried may use the cores kept free for services and doesn't count as demand, so that trying a mistaken job where other work keeps machines rents none. Failures of returned machines are counted but no longer kept by name.

Why it works: whether a job has a machine no longer depends on who is to blame. Every part counts the same tasks of a suspect job, and the search for jobs without a machine leaves out exactly the machines on which the scheduler would not try it.

--- a/src/coordination/agents/heartbeat_status.rs
+++ b/src/coordination/agents/heartbeat_status.rs
@@ -20,6 +20,9 @@
 /// How long a task whose start was sent may stay unlisted after its stop was requested, before the
 /// term is raised.
 const MAX_UNLISTED_STOP: Micros = Micros::from_millis(3000);
+/// The time for which a replica of a service must run before earlier failures of the service are
+/// forgotten.
+const RECOVERED_RUN_TIME: Micros = Micros::from_millis(120_000);
 /// The number of failures of one job's tasks from which their machine is quarantined, if other
 /// tasks of the job have completed.
 const MIN_FAILURES_OF_JOB: u32 = 2;
@@ -361,6 +364,11 @@
         if placement.stop_grace_s.is_some() {
             reasons.stops.insert(record.clone());
         }
+        let has_recovered = placement.has_run_for(RECOVERED_RUN_TIME, now);
+        if has_recovered && job.is_service() {
+            job.consecutive_failures = 0;
+            job.failures.clear();
+        }
         if phase == TaskPhase::Running {
             let machine_type = applied.cluster.catalogue.get(&applied.heartbeat.machine_type);
             let cache_gb = machine_type.map_or(f64::INFINITY, |t| t.cache_gb);
@@ -446,7 +454,7 @@
             job.task_states[task as usize] = TaskState::Finished;
             job.finished_tasks += 1;
             job.consecutive_failures = 0;
-            job.failed_machines.clear();
+            job.failures.clear();
             job.task_ranges.entry(range_index).or_default().completed.insert(task);
             if !job.is_service() && job.finished_tasks == job.spec.tasks {
                 self.log_writer.completed.insert(id.clone());
@@ -455,26 +463,32 @@
             self.mark_task_range_changed(id, range_index, now);
         }
         if let Some(machine) = self.machines.get_mut(name) {
+            machine.last_completion = Some(now);
             machine.task_failures.pop_first();
         }
     }
 
-    /// Applies the failure of a task, which counts against the machine, or against the job if the
-    /// job has failed on several machines and never succeeded.
+    /// Applies the failure of a task, which counts against the machine unless the job is suspect.
     fn apply_failure(&mut self, name: &MachineId, id: &JobId, task: u32, now: Micros) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        tracing::debug!(job = %id, task, machine = %name, "task failed");
-        job.failed_machines.insert(name.clone());
+        let placed_at = job.placements.get(&task).map_or(now, |p| p.placed_at);
+        job.failures.record(name, placed_at, now);
+        job.failures.drop_returned(&self.machines);
         job.consecutive_failures += 1;
-        if !job.is_suspect(now) {
+        let is_suspect = job.is_suspect(now);
+        tracing::debug!(
+            job = %id,
+            task,
+            machine = %name,
+            failed_machines = job.failures.machines(),
+            suspect = is_suspect,
+            "task failed"
+        );
+        if !is_suspect {
             return self.count_failure(name, id, now);
         }
-        // Exponential backoff.
-        let backoff_steps =
-            job.failed_machines.len().max(2) - 2 + job.consecutive_failures as usize / job.spec.tasks.max(1) as usize;
-        let pause = Micros::from_secs((2u64 << backoff_steps.min(5)) as f64);
-        job.backoff_until = now + pause;
-        let machines = job.failed_machines.clone();
+        job.backoff_until = now + job.failures.backoff();
+        let machines: Vec<MachineId> = job.failures.rented_machines().cloned().collect();
         for machine in machines {
             self.clear_failures(&machine, id);
         }
--- a/src/coordination/failure_detection/zone_partition.rs
+++ b/src/coordination/failure_detection/zone_partition.rs
@@ -4,7 +4,7 @@
 //! Called by the leader's periodic work and by provisioning. `glenhaven-zone-health` makes the
 //! decisions; this module collects the observations for it and keeps the results.
 
-use crate::coordination::state::{Job, LeaderState, Machine, MachineId, MachineState};
+use crate::coordination::state::{LeaderState, Machine, MachineId, MachineState};
 use crate::coordination::timing::AGENT_FAILOVER;
 use crate::coordination::ClusterConfig;
 use crate::time::Micros;
@@ -149,9 +149,8 @@
 
     /// Cores that waiting tasks need.
     fn waiting_cores(&self, now: Micros) -> f64 {
-        let waits = |j: &&Job| j.may_run() && !j.is_suspect(now);
-        let waiting = self.jobs.values().filter(waits);
-        waiting.map(|j| j.waiting.len() as f64 * j.spec.cpus).sum()
+        let runnable = self.jobs.values().filter(|job| job.may_run());
+        runnable.map(|job| job.claimed_tasks(now) as f64 * job.spec.cpus).sum()
     }
 
     /// Cores held on machines of cut-off zones that run services.
--- a/src/coordination/provisioning/cost_benefit.rs
+++ b/src/coordination/provisioning/cost_benefit.rs
@@ -244,7 +244,7 @@
         let jobs = self.leader.jobs.values();
         let mut waiting: Vec<WaitingJob> = jobs
             .filter(|j| j.spec.spot && j.may_run() && !j.waiting.is_empty())
-            .filter(|j| !j.is_suspect(self.now) && !is_best_effort(self.cluster, j, self.now))
+            .filter(|j| j.claimed_tasks(self.now) > 0 && !is_best_effort(self.cluster, j, self.now))
             .map(|job| WaitingJob {
                 job,
                 is_guaranteed: guaranteed.contains(&job.id),
--- a/src/coordination/provisioning/demand.rs
+++ b/src/coordination/provisioning/demand.rs
@@ -55,6 +55,8 @@
 #[derive(Default)]
 struct TeamDemand {
     held: CoresByCapacityType,
+    /// Those of `held` that don't count as demand, because suspect jobs hold them.
+    held_by_suspects: CoresByCapacityType,
     waiting: CoresByCapacityType,
 }
 
@@ -96,15 +98,22 @@
             let cores = effective_cores(&job.spec, cluster);
             let waiting = waiting_demand(cluster, job, now);
             let team = by_team.entry(&job.spec.team).or_default();
-            *team.held.of_mut(job.spec.spot) += f64::from(job.held_tasks) * cores;
+            let held = f64::from(job.held_tasks) * cores;
+            *team.held.of_mut(job.spec.spot) += held;
+            *team.held_by_suspects.of_mut(job.spec.spot) += held - held_demand(job, now) * cores;
             *team.waiting.of_mut(job.spec.spot) += waiting * cores;
         }
         let mut demand = CoresByCapacityType::default();
-        for (team, TeamDemand { held, waiting }) in by_team {
+        for (team, team_demand) in by_team {
+            let TeamDemand {
+                held,
+                held_by_suspects,
+                waiting,
+            } = team_demand;
             let left_of_limit = (cluster.limits(team).0 - held.on_demand - held.spot).max(0.0);
             let waiting_on_demand = waiting.on_demand.min(left_of_limit);
-            demand.on_demand += held.on_demand + waiting_on_demand;
-            demand.spot += held.spot + waiting.spot.min(left_of_limit - waiting_on_demand);
+            demand.on_demand += held.on_demand - held_by_suspects.on_demand + waiting_on_demand;
+            demand.spot += held.spot - held_by_suspects.spot + waiting.spot.min(left_of_limit - waiting_on_demand);
         }
         demand
     }
@@ -187,7 +196,7 @@
                 .or_insert_with(|| self.is_latency_sensitive(cluster, class, now));
             if is_class_sensitive {
                 let cores = effective_cores(&job.spec, cluster);
-                let held = f64::from(job.held_tasks) * cores;
+                let held = held_demand(job, now) * cores;
                 backlog.latency_sensitive += held + waiting_demand(cluster, job, now) * cores;
             } else {
                 add_to_backlog(&mut backlog, cluster, job, mean_boot_s, now);
@@ -232,7 +241,7 @@
 /// Adds a job of a class that is not latency-sensitive to the backlog.
 fn add_to_backlog(backlog: &mut Backlog, cluster: &ClusterConfig, job: &Job, mean_boot_s: f64, now: Micros) {
     let cores = effective_cores(&job.spec, cluster);
-    let held = f64::from(job.held_tasks) * cores;
+    let held = held_demand(job, now) * cores;
     backlog.total += held + waiting_demand(cluster, job, now) * cores;
     backlog.held += held;
     backlog.freed += held * (mean_boot_s / job.spec.estimate_s.max(1.0)).min(1.0) * FREED_SHARE;
@@ -252,6 +261,16 @@
     }
 }
 
+/// Returns the number of tasks that a job holds and that count as demand. The task with which a
+/// suspect job is tried doesn't: it uses what other work leaves, or a machine rented for it alone.
+fn held_demand(job: &Job, now: Micros) -> f64 {
+    if job.is_suspect(now) {
+        0.0
+    } else {
+        f64::from(job.held_tasks)
+    }
+}
+
 /// Returns the number of a job's waiting tasks that count as demand; 0 if the job may not run.
 fn waiting_demand(cluster: &ClusterConfig, job: &Job, now: Micros) -> f64 {
     if job.may_run() {
@@ -263,14 +282,11 @@
 
 /// Returns the number of a job's waiting tasks that would count as demand if the job may run.
 ///
-/// A suspect job (see [`Job::is_suspect`]) gets no machines. Low-priority work runs on capacity that
+/// A suspect job claims at most one (see [`Job::claimed_tasks`]). Low-priority work runs on capacity that
 /// other work leaves: of its tasks, those that can run one after another on the same cores and
 /// still be in time count as one.
 fn task_demand(cluster: &ClusterConfig, job: &Job, now: Micros) -> f64 {
-    if job.is_suspect(now) {
-        return 0.0;
-    }
-    let waiting = job.waiting.len() as f64;
+    let waiting = job.claimed_tasks(now) as f64;
     if job.priority != Priority::Low || job.is_service() {
         return waiting;
     }
--- a/src/coordination/provisioning/jobs_without_machine.rs
+++ b/src/coordination/provisioning/jobs_without_machine.rs
@@ -12,10 +12,11 @@
 //! on whether the scheduler had slots to consider the job.
 
 use super::super::scheduling::{allowed, open_zones};
-use super::super::state::{Job, LeaderState, Machine, MachineId, MachineState, Resources, ROUNDING_TOLERANCE};
+use super::super::state::{
+    AvoidedMachines, Job, LeaderState, Machine, MachineId, MachineState, Resources, ROUNDING_TOLERANCE,
+};
 use super::super::{ClusterConfig, JobId};
 use crate::protocol::cloud::MachineType;
-use crate::protocol::users::Priority;
 use crate::time::Micros;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -39,6 +40,25 @@
     shared_with_services: bool,
 }
 
+/// A search for room for a task of one job.
+struct RoomRequest<'a> {
+    job: &'a Job,
+    /// The zones where the task may start; `None`: any.
+    zones: Option<Vec<String>>,
+    /// Machines on which the job has failed and is not to be tried again.
+    avoided: BTreeSet<MachineId>,
+    /// Whether the job may use the cores that are kept free for services.
+    may_use_reserve: bool,
+}
+
+impl RoomRequest<'_> {
+    fn allows(&self, kind: &RoomKind) -> bool {
+        let zones = self.zones.as_ref();
+        zones.is_none_or(|zones| zones.iter().any(|zone| zone == kind.zone))
+            && allowed(&self.job.spec, kind.machine_type, kind.zone, kind.spot)
+    }
+}
+
 /// The room on all machines that can take new work, booting and claimed ones included.
 #[derive(Default)]
 struct Rooms<'a> {
@@ -55,22 +75,19 @@
         self.by_kind.entry(kind).or_default().push(room);
     }
 
-    /// Returns whether any machine in these zones (`None`: in any zone) can take a task of the job.
-    fn can_take(&self, job: &Job, zones: Option<&[String]>) -> bool {
-        let allows = |kind: &RoomKind| {
-            zones.is_none_or(|zones| zones.iter().any(|zone| zone == kind.zone))
-                && allowed(&job.spec, kind.machine_type, kind.zone, kind.spot)
-        };
-        let mut allowed_kinds = self.by_kind.iter().filter(|(kind, _)| allows(kind));
-        allowed_kinds.any(|(_, rooms)| rooms.iter().any(|room| self.fits(room, job)))
+    /// Returns whether any machine can take a task of the job.
+    fn can_take(&self, request: &RoomRequest) -> bool {
+        let mut allowed_kinds = self.by_kind.iter().filter(|(kind, _)| request.allows(kind));
+        allowed_kinds.any(|(_, rooms)| rooms.iter().any(|room| self.fits(room, request)))
     }
 
-    fn fits(&self, room: &Room, job: &Job) -> bool {
+    fn fits(&self, room: &Room, request: &RoomRequest) -> bool {
+        let spec = &request.job.spec;
         let is_reserve_kept = !room.shared_with_services
-            || job.spec.priority >= Priority::Production
-            || self.beside_services + ROUNDING_TOLERANCE >= job.spec.cpus;
-        let has_failed = room.machine.is_some_and(|name| job.failed_machines.contains(name));
-        room.resources.fits(&job.spec) && is_reserve_kept && !has_failed
+            || request.may_use_reserve
+            || self.beside_services + ROUNDING_TOLERANCE >= spec.cpus;
+        let is_avoided = room.machine.is_some_and(|name| request.avoided.contains(name));
+        room.resources.fits(spec) && is_reserve_kept && !is_avoided
     }
 }
 
@@ -96,12 +113,17 @@
         let rooms = self.rooms(cluster, had_agent_contact, now);
         let all_zones = cluster.zones();
         let is_without = |job: &&Job| {
-            let zones = open_zones(job, &self.machines, &all_zones);
-            !rooms.can_take(job, zones.as_deref())
+            let request = RoomRequest {
+                job,
+                zones: open_zones(job, &self.machines, &all_zones),
+                avoided: self.machines_to_avoid(job, AvoidedMachines::NoProofExpected, now),
+                may_use_reserve: job.may_use_service_reserve(now),
+            };
+            !rooms.can_take(&request)
         };
         self.jobs
             .values()
-            .filter(|job| job.may_run() && !job.waiting.is_empty() && !job.is_suspect(now))
+            .filter(|job| job.may_run() && !job.waiting.is_empty() && job.may_be_tried(now))
             .filter(is_without)
             .map(|job| job.id.clone())
             .collect()
--- a/src/coordination/provisioning/stuck.rs
+++ b/src/coordination/provisioning/stuck.rs
@@ -28,6 +28,8 @@
 
 /// A job that fits on no machine.
 struct StuckJob {
+    /// Whether the job is suspect (see [`Job::is_suspect`]).
+    is_suspect: bool,
     acceptance_revision: u64,
     spec: JobSpec,
     /// Zones where its next task may start; `None`: any.
@@ -137,7 +139,7 @@
         pending
     }
 
-    /// Returns the stuck jobs, the oldest first.
+    /// Returns the stuck jobs, suspect jobs last and the oldest first.
     fn stuck_jobs(&self, cluster: &ClusterConfig, now: Micros, is_total_sufficient: bool) -> Vec<StuckJob> {
         let zones = cluster.zones();
         let usage = usage_by_team(&self.jobs);
@@ -147,7 +149,7 @@
             .filter(|job| is_stuck(job, now, is_total_sufficient))
             .filter_map(|job| self.stuck_job(cluster, job, &usage, &zones, now))
             .collect();
-        stuck.sort_by_key(|s| s.acceptance_revision);
+        stuck.sort_by_key(|s| (s.is_suspect, s.acceptance_revision));
         stuck
     }
 
@@ -172,8 +174,10 @@
         if !left.fits(&job.spec) {
             return None;
         }
-        let waiting = job.waiting.len() as f64;
+        // A suspect job gets a machine for the one task that is tried.
+        let waiting = job.claimed_tasks(now).max(1) as f64;
         Some(StuckJob {
+            is_suspect: job.is_suspect(now),
             acceptance_revision: job.acceptance_revision,
             spec: job.spec.clone(),
             open_zones: open_zones(job, &self.machines, zones),
@@ -186,8 +190,9 @@
 
 /// Returns whether a job has fit on no machine for long enough that a machine is rented for it.
 fn is_stuck(job: &Job, now: Micros, is_total_sufficient: bool) -> bool {
-    let may_start = job.may_run() && !job.waiting.is_empty() && !job.is_suspect(now);
-    may_start && (is_without_machine(job, now) || is_unplaceable(job, now, is_total_sufficient))
+    let may_start = job.may_run() && !job.waiting.is_empty() && job.may_be_tried(now);
+    let is_unplaceable = !job.is_deferred(now) && is_unplaceable(job, now, is_total_sufficient);
+    may_start && (is_without_machine(job, now) || is_unplaceable)
 }
 
 fn is_without_machine(job: &Job, now: Micros) -> bool {
--- a/src/coordination/reservation.rs
+++ b/src/coordination/reservation.rs
@@ -5,12 +5,13 @@
 //! determines the candidate jobs and machines. Nothing is preempted for a reservation.
 
 use super::scheduling::allowed;
-use super::state::{Job, LeaderState, Machine, MachineId};
+use super::state::{AvoidedMachines, Job, LeaderState, Machine, MachineId};
 use super::{ClusterConfig, JobId};
 use crate::protocol::cloud::MachineType;
 use crate::time::Micros;
 use glenhaven_reservation::{ReservableMachine, ReservationPolicy, WaitingJob};
 use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A task is large if it takes at least this share of every machine type on which it fits.
 const LARGE_SHARE: f64 = 0.5;
@@ -58,7 +59,7 @@
         && job
             .unplaceable_since
             .is_some_and(|at| now.since(at) > RESERVATION_DELAY)
-        && !job.is_suspect(now)
+        && job.claimed_tasks(now) > 0
 }
 
 impl LeaderState {
@@ -73,6 +74,7 @@
             return;
         }
         let machines = self.reservable_machines(cluster, now);
+        let avoided = self.avoided_by_jobs(&waiting, now);
         let (all, jobs) = (&self.machines, &self.jobs);
         let suits = |name: &MachineId, id: &JobId| {
             let (Some(machine), Some(job)) = (all.get(name), jobs.get(id)) else {
@@ -81,7 +83,7 @@
             let machine_type = cluster.catalogue.get(&machine.machine_type);
             machine_type.is_some_and(|t| fits(job, t))
                 && allowed(&job.spec, &machine.machine_type, &machine.zone, machine.spot)
-                && !job.failed_machines.contains(name)
+                && !avoided.get(id).is_some_and(|machines| machines.contains(name))
         };
         let max = ((machines.len() as f64 * MAX_RESERVED_SHARE) as usize).max(1);
         let policy = &mut self.reservations.policy;
@@ -105,11 +107,21 @@
             .iter()
             .map(|j| WaitingJob {
                 job: j.id.clone(),
-                tasks: j.waiting.len(),
+                tasks: j.claimed_tasks(now),
             })
             .collect()
     }
 
+    /// The machines on which each of these jobs is not to be tried again.
+    fn avoided_by_jobs(&self, waiting: &[WaitingJob<JobId>], now: Micros) -> BTreeMap<JobId, BTreeSet<MachineId>> {
+        let jobs = waiting.iter().filter_map(|w| self.jobs.get(&w.job));
+        jobs.map(|job| {
+            let avoided = self.machines_to_avoid(job, AvoidedMachines::NotProvenSound, now);
+            (job.id.clone(), avoided)
+        })
+        .collect()
+    }
+
     /// The machines that become empty eventually, which excludes those with tasks of services.
     fn reservable_machines(&self, cluster: &ClusterConfig, now: Micros) -> Vec<ReservableMachine<MachineId>> {
         let silence = Self::max_heartbeat_age(cluster);
--- a/src/coordination/scheduling/best_fit.rs
+++ b/src/coordination/scheduling/best_fit.rs
@@ -28,8 +28,10 @@
 /// Inputs of the best-fit search for a job's next task, besides the pass.
 pub(super) struct BestFitRequest<'a> {
     pub(super) job: &'a Job,
-    /// Whether the job is suspect (see [`Job::is_suspect`]) and may therefore retry on any machine.
-    pub(super) is_suspect: bool,
+    /// Machines on which the job has failed and is not to be tried again.
+    pub(super) avoided_machines: &'a BTreeSet<MachineId>,
+    /// Whether the job may use the cores that are kept free for services.
+    pub(super) may_use_reserve: bool,
     /// Whether the job uses only capacity that other work leaves free.
     pub(super) best_effort: bool,
     /// Number of the job's tasks in each zone; empty if the job has no zone rule.
@@ -74,7 +76,7 @@
 
     /// Whether the job may start on a machine, given the machines where its tasks failed.
     fn may_retry_on(&self, machine: &MachineId) -> bool {
-        self.is_suspect || !self.job.failed_machines.contains(machine)
+        !self.avoided_machines.contains(machine)
     }
 
     /// Whether a machine is reserved for another job; production jobs ignore reservations.
@@ -149,10 +151,10 @@
     }
 
     /// Whether the job may start on machines of this kind at present: the service reserve on
-    /// on-demand machines is open to production only, and the job's zone rules hold.
+    /// on-demand machines is open to production and suspect jobs only, and the job's zone rules hold.
     fn admits_kind(&self, request: &BestFitRequest, kind: &MachineKind) -> bool {
         let preserves_reserve = self.on_demand_free_cpus - request.job.spec.cpus >= self.service_reserve - EPSILON;
-        (request.is_production() || kind.spot || preserves_reserve) && request.zone_admits(&kind.zone)
+        (request.may_use_reserve || kind.spot || preserves_reserve) && request.zone_admits(&kind.zone)
     }
 
     /// Whether an on-demand kind need not be searched for a best-effort job, because a task of the
@@ -245,7 +247,7 @@
             return false;
         }
         let spot = request.kinds[candidate.kind].spot;
-        let shares_with_services = candidate.runs_services && !request.is_production() && !spot;
+        let shares_with_services = candidate.runs_services && !request.may_use_reserve && !spot;
         !shares_with_services
             || self.service_machine_free_cpus - request.job.spec.cpus >= self.service_reserve - EPSILON
     }
--- a/src/coordination/scheduling/pool_sizing.rs
+++ b/src/coordination/scheduling/pool_sizing.rs
@@ -33,11 +33,7 @@
     fn demanded_slots(&self, now: Micros) -> BTreeMap<Rc<ClassKey>, f64> {
         let mut demanded: BTreeMap<Rc<ClassKey>, f64> = BTreeMap::new();
         for job in self.jobs.values() {
-            let waiting = if job.may_run() && !job.is_suspect(now) {
-                job.waiting.len()
-            } else {
-                0
-            };
+            let waiting = if job.may_run() { job.claimed_tasks(now) } else { 0 };
             let slots = (job.held_tasks as usize + waiting) as f64 * f64::from(job.class.slots_per_task);
             *demanded.entry(job.class.clone()).or_default() += slots;
         }
--- a/src/coordination/scheduling/preemption.rs
+++ b/src/coordination/scheduling/preemption.rs
@@ -6,7 +6,7 @@
 //! Invariant: a task is stopped only if that lets a waiting task start, and never for work of a
 //! lower priority.
 
-use super::super::state::{Job, LeaderState, MachineId, Placement, PlacementPhase};
+use super::super::state::{AvoidedMachines, Job, LeaderState, MachineId, Placement, PlacementPhase};
 use super::super::{ClusterConfig, JobId};
 use super::candidates::CandidateMachine;
 use super::pass::Pass;
@@ -119,8 +119,9 @@
         job: &Job,
         guaranteed: &BTreeSet<JobId>,
     ) -> Vec<Preemption> {
-        let mut wanted = job.waiting.len().min(MAX_TASKS_PER_JOB);
+        let mut wanted = job.claimed_tasks(pass.now).min(MAX_TASKS_PER_JOB);
         let mut preemptions = vec![];
+        let avoided = self.machines_to_avoid(job, AvoidedMachines::NotProvenSound, pass.now);
         let with_image = self.candidates_with_image(job);
         let others = (0..pass.candidates.len()).filter(|i| !with_image.contains(i));
         for index in with_image.iter().copied().chain(others) {
@@ -129,7 +130,7 @@
             }
             pass.preemption_examined += 1;
             let candidate = &pass.candidates[index];
-            if !self.allows(&job.spec, candidate) || job.failed_machines.contains(&candidate.name) {
+            if !self.allows(&job.spec, candidate) || avoided.contains(&candidate.name) {
                 continue;
             }
             let victims = self.victims(&candidate.name, |other, placement| {
@@ -259,7 +260,7 @@
 /// [`GUARANTEE_WAIT`] for high priority, for work within its team's guarantee and, if low-priority
 /// work runs, for all work above low priority.
 fn is_entitled_to_preempt(job: &Job, is_guaranteed: bool, low_priority_runs: bool, now: Micros) -> bool {
-    if job.waiting.is_empty() || job.is_suspect(now) {
+    if job.claimed_tasks(now) == 0 {
         return false;
     }
     let has_waited = now.since(job.arrived_at) >= GUARANTEE_WAIT;
--- a/src/coordination/scheduling/queue.rs
+++ b/src/coordination/scheduling/queue.rs
@@ -23,8 +23,8 @@
 /// A job's place in the queue. The fields are compared one after another, in this order.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
-    /// Whether the job is suspect (see [`Job::is_suspect`]).
-    is_suspect: bool,
+    /// Whether the job leaves the capacity to other work (see [`Job::is_deferred`]).
+    is_deferred: bool,
     priority: Reverse<Priority>,
     is_beyond_guarantee: bool,
     /// Number of the job's deadlines that it can no longer meet.
@@ -50,7 +50,7 @@
 
     fn rank(&self, cluster: &ClusterConfig, job: &Job, guaranteed: &BTreeSet<JobId>, now: Micros) -> Rank {
         Rank {
-            is_suspect: job.is_suspect(now),
+            is_deferred: job.is_deferred(now),
             priority: Reverse(job.priority),
             is_beyond_guarantee: !guaranteed.contains(&job.id),
             missed_deadlines: missed_deadlines(cluster, job, self.fetch_s(cluster, &job.spec), now),
--- a/src/coordination/scheduling/starts.rs
+++ b/src/coordination/scheduling/starts.rs
@@ -8,7 +8,7 @@
 use super::super::decision_log::Decided;
 use super::super::log::queues::QueuedStarts;
 use super::super::log::LogWriter;
-use super::super::state::{Job, LeaderState, Placement, PlacementPhase, TaskState};
+use super::super::state::{AvoidedMachines, Job, LeaderState, MachineId, Placement, PlacementPhase, TaskState};
 use super::super::{ClusterConfig, JobId};
 use super::best_fit::{BestFit, BestFitRequest};
 use super::candidates::KindGroups;
@@ -18,7 +18,7 @@
 use super::rules::{is_best_effort, zones_of};
 use super::{IMAGE_WAIT, MAX_STARTS};
 use crate::protocol::users::Priority;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 /// Why no more tasks of a job are started.
@@ -37,6 +37,8 @@
     only_with_image: bool,
     best_effort: bool,
     is_suspect: bool,
+    /// Machines on which the job has failed and is not to be tried again.
+    avoided_machines: BTreeSet<MachineId>,
     /// Number of the job's tasks in each zone; empty if the job has no zone rule.
     task_zones: BTreeMap<String, u32>,
     /// Computed on first use.
@@ -125,6 +127,7 @@
             only_with_image,
             best_effort: is_best_effort(cluster, job, pass.now),
             is_suspect: job.is_suspect(pass.now),
+            avoided_machines: self.machines_to_avoid(job, AvoidedMachines::NotProvenSound, pass.now),
             task_zones,
             kind_groups: None,
         })
@@ -151,7 +154,8 @@
         let kind_groups = plan.kind_groups.get_or_insert_with(|| KindGroups::of(&job.spec, kinds));
         pass.best_fit(&BestFitRequest {
             job,
-            is_suspect: plan.is_suspect,
+            avoided_machines: &plan.avoided_machines,
+            may_use_reserve: job.may_use_service_reserve(pass.now),
             best_effort: plan.best_effort,
             task_zones: &plan.task_zones,
             kind_groups,
--- a/src/coordination/state/job.rs
+++ b/src/coordination/state/job.rs
@@ -11,6 +11,7 @@
 use crate::coordination::fault_injection::{is_injected, InjectedFault};
 use crate::coordination::objectives::JobObjective;
 use crate::coordination::scheduling::pools::ClassKey;
+use crate::coordination::state::job_failures::{JobFailures, STABLE_RUN_TIME};
 use crate::coordination::state::MachineId;
 use crate::coordination::JobId;
 use crate::protocol::agents::{Cause, TaskPhase};
@@ -19,12 +20,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-/// A service replica that has run for longer than this counts as working.
-const STABLE_RUN_TIME: Micros = Micros::from_millis(20_000);
-
 /// The number of machines on which a job must have failed before the job itself is suspected to be
 /// the cause.
-const SUSPECT_JOB_MIN_MACHINES: usize = 2;
+pub(super) const SUSPECT_JOB_MIN_MACHINES: usize = 2;
+/// How long a suspect job that may be tried again leaves the capacity to other work.
+const SUSPECT_JOB_DEFERENCE: Micros = Micros::from_millis(30_000);
 
 /// The state of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -97,6 +97,11 @@
         self.phase == PlacementPhase::Sent && (!self.restored || sends_any)
     }
 
+    /// Whether the attempt has been running for longer than `duration` at `now`.
+    pub fn has_run_for(&self, duration: Micros, now: Micros) -> bool {
+        self.running_since.is_some_and(|since| now.since(since) > duration)
+    }
+
     /// Whether the attempt still uses resources of its machine. An exit releases the resources at
     /// once, although the record stays until the outcome is durable.
     pub fn uses_resources(&self) -> bool {
@@ -211,8 +216,9 @@
     pub backoff_until: Micros,
     /// Run times of the job's completed tasks.
     pub completed_runs: CompletedRuns,
-    /// Machines on which tasks of the job have failed since one last completed.
-    pub failed_machines: BTreeSet<MachineId>,
+    /// Failures of the job's tasks since one last completed; those of a service are forgotten once a
+    /// replica has run for long.
+    pub failures: JobFailures,
     /// The counts last sent to the other controllers.
     pub published_progress: ProgressCounts,
     /// The job's service level objectives; `None` if they have not been derived yet.
@@ -276,7 +282,7 @@
             consecutive_failures: 0,
             backoff_until: Micros::ZERO,
             completed_runs: CompletedRuns::default(),
-            failed_machines: BTreeSet::new(),
+            failures: JobFailures::default(),
             published_progress: ProgressCounts::default(),
             objectives: None,
             restored: false,
@@ -333,16 +339,45 @@
         }
     }
 
-    /// Whether the job itself, rather than its machines, seems to be the reason why its tasks fail:
-    /// they failed on several machines, no task has completed and no replica runs stably. One task
-    /// of a suspect job is still retried now and then, because only the user may cancel the job.
+    /// Whether the job itself, rather than its machines, may be the reason why its tasks fail: they
+    /// failed on several machines, no task has completed and no replica runs stably.
+    ///
+    /// A suspect job is tried with one task at a time, at growing intervals. It stays entitled to a
+    /// machine for that task, because only its user may cancel it.
     pub fn is_suspect(&self, now: Micros) -> bool {
-        let is_stable = |p: &Placement| {
-            let runs_stably = |since| now.since(since) > STABLE_RUN_TIME;
-            matches!(p.phase, PlacementPhase::Seen(_)) && p.running_since.is_some_and(runs_stably)
-        };
+        let is_stable =
+            |p: &Placement| matches!(p.phase, PlacementPhase::Seen(_)) && p.has_run_for(STABLE_RUN_TIME, now);
         let has_stable_replica = || self.is_service() && self.placements.values().any(is_stable);
-        self.failed_machines.len() >= SUSPECT_JOB_MIN_MACHINES && self.finished_tasks == 0 && !has_stable_replica()
+        self.failures.machines() >= SUSPECT_JOB_MIN_MACHINES && self.finished_tasks == 0 && !has_stable_replica()
+    }
+
+    /// Whether one of the job's waiting tasks may be tried now, as far as earlier failures matter.
+    pub fn may_be_tried(&self, now: Micros) -> bool {
+        !self.is_suspect(now) || (self.held_tasks == 0 && now >= self.backoff_until)
+    }
+
+    /// Whether the job leaves the capacity to other work for now, because it is suspect. After
+    /// [`SUSPECT_JOB_DEFERENCE`] it claims capacity for one task like any other job.
+    pub fn is_deferred(&self, now: Micros) -> bool {
+        let is_within_deference = now < self.backoff_until + SUSPECT_JOB_DEFERENCE;
+        self.is_suspect(now) && (self.held_tasks > 0 || is_within_deference)
+    }
+
+    /// Whether the job's tasks may use the cores that are kept free for services: those of production
+    /// jobs, and the single task with which a suspect job is tried.
+    pub fn may_use_service_reserve(&self, now: Micros) -> bool {
+        self.spec.priority >= Priority::Production || self.is_suspect(now)
+    }
+
+    /// Returns the number of waiting tasks for which the job claims capacity now, if it may run.
+    pub fn claimed_tasks(&self, now: Micros) -> usize {
+        if self.is_deferred(now) {
+            0
+        } else if self.is_suspect(now) {
+            self.waiting.len().min(1)
+        } else {
+            self.waiting.len()
+        }
     }
 
     /// Returns the placements that use resources of machines.
--- a/src/coordination/state/machine.rs
+++ b/src/coordination/state/machine.rs
@@ -108,6 +108,8 @@
     pub has_forgettable_exits: bool,
     /// The reasons to send commands to the machine, and the starts that may be in flight to it.
     pub outbox: Outbox,
+    /// When a task last completed on the machine; `None` if this leader has seen none.
+    pub last_completion: Option<Micros>,
     /// The number of recent task failures on the machine, by job.
     pub task_failures: BTreeMap<JobId, u32>,
     /// Since when the machine has been in quarantine because tasks fail on it.
@@ -157,6 +159,7 @@
             idle_since: None,
             has_forgettable_exits: false,
             outbox: Outbox::default(),
+            last_completion: None,
             task_failures: BTreeMap::new(),
             quarantined_since: None,
             quarantined_until: Micros::ZERO,
--- a/src/coordination/state/mod.rs
+++ b/src/coordination/state/mod.rs
@@ -11,6 +11,7 @@
 mod images;
 mod job;
 mod job_events;
+mod job_failures;
 mod machine;
 mod placements;
 mod resources;
@@ -33,6 +34,7 @@
 pub use images::ImageIndex;
 pub use job::{slots_per_task, CompletedRuns, Job, Placement, PlacementPhase, ProgressCounts, TaskRange, TaskState};
 pub use job_events::EarlyJobEvent;
+pub use job_failures::AvoidedMachines;
 pub use machine::{CachedImage, Machine, MachineId, MachineKind, MachineState};
 pub use resources::{Resources, ROUNDING_TOLERANCE};
 use std::collections::{BTreeMap, BTreeSet};
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -115,6 +115,8 @@
     pub late_reports: BTreeMap<usize, f64>,
     /// Machines on which every task fails.
     pub faulty_machines: BTreeMap<usize, BTreeSet<String>>,
+    /// How many of the machines that are rented next are faulty for good.
+    pub faulty_rentals: usize,
     /// Controllers that process nothing while their clocks run on.
     pub frozen: BTreeMap<usize, usize>,
     /// Controllers that are cut off from `all`, `state`, `workers` or `peers`.
@@ -159,6 +161,13 @@
                 .any(|(node, what)| *node == n && (what == "all" || what == from))
     }
 
+    /// Returns whether the machine that is being rented is faulty, and counts it.
+    pub(crate) fn next_rental_is_faulty(&mut self) -> bool {
+        let is_faulty = self.faulty_rentals > 0;
+        self.faulty_rentals = self.faulty_rentals.saturating_sub(1);
+        is_faulty
+    }
+
     pub(crate) fn is_frozen(&self, n: usize) -> bool {
         self.frozen.values().any(|f| *f == n)
     }
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -50,6 +50,8 @@
     SpotNotice(u64),
     /// Tasks fail on this many machines, for good if the step has no duration.
     Faulty(usize),
+    /// This many of the machines that are rented next are faulty for good.
+    FaultyRentals(usize),
     /// Tasks take four times as long on this many machines.
     Slow(usize),
     /// Adds a machine that the controllers did not rent.
@@ -408,6 +410,7 @@
                             .map_err(|_| "the notice is not a number of seconds")?,
                     ),
                     "faulty" => Action::Faulty(count()?),
+                    "faulty-rentals" => Action::FaultyRentals(count()?),
                     "slow" => Action::Slow(count()?),
                     "unknown-machine" => Action::UnknownMachine,
                     "freeze-on-grant" => Action::FreezeOnGrant,
--- a/tests/sim/steps.rs
+++ b/tests/sim/steps.rs
@@ -123,6 +123,7 @@
                 self.set_faulty(&machines, true);
                 self.active_faults.faulty_machines.insert(i, machines);
             }
+            Action::FaultyRentals(count) => self.active_faults.faulty_rentals += count,
             Action::Slow(count) => {
                 let now = self.now;
                 for name in self.busiest(count) {
