Count the same room for work that needs on-demand machines wherever it is counted

Cause: the scheduler starts work below production on on-demand machines only if they keep the cores that are reserved for services free, all together. The search for jobs without a machine applied the reserve only to machines that services share, and took an empty machine of exactly the reserve for sufficient. The totals counted an on-demand machine that spot services fill as on-demand supply, and the services as demand for spot cores, so that the older of two idle machines was released as spare at the moment when the newer one was up. Debug logs: one empty on-demand machine up, `rental for a waiting job without_machine=false` every 20 s, each followed by `idle machine marked for release`.

Change: the search for jobs without a machine applies the reserve to all on-demand machines, and replicas of services on on-demand machines count as demand for on-demand cores, whatever else they may use. The demand held by a job is now found in one place (`held_demand`).

Why it works: with the services counted where they are, the missing machine is rented by the periodic decision and kept while the array waits.

--- a/src/coordination/provisioning/demand.rs
+++ b/src/coordination/provisioning/demand.rs
@@ -54,9 +54,10 @@
 /// Cores that one team's tasks hold, and cores that they wait for.
 #[derive(Default)]
 struct TeamDemand {
+    /// All cores that are held, which count towards the team's limit.
+    held_cores: f64,
+    /// The held cores that count as demand.
     held: CoresByCapacityType,
-    /// Those of `held` that don't count as demand, because suspect jobs hold them.
-    held_by_suspects: CoresByCapacityType,
     waiting: CoresByCapacityType,
 }
 
@@ -98,26 +99,48 @@
             let cores = effective_cores(&job.spec, cluster);
             let waiting = waiting_demand(cluster, job, now);
             let team = by_team.entry(&job.spec.team).or_default();
-            let held = f64::from(job.held_tasks) * cores;
-            *team.held.of_mut(job.spec.spot) += held;
-            *team.held_by_suspects.of_mut(job.spec.spot) += held - held_demand(job, now) * cores;
+            team.held_cores += f64::from(job.held_tasks) * cores;
+            let held = self.held_demand(job, now);
+            team.held.on_demand += held.on_demand * cores;
+            team.held.spot += held.spot * cores;
             *team.waiting.of_mut(job.spec.spot) += waiting * cores;
         }
         let mut demand = CoresByCapacityType::default();
         for (team, team_demand) in by_team {
             let TeamDemand {
+                held_cores,
                 held,
-                held_by_suspects,
                 waiting,
             } = team_demand;
-            let left_of_limit = (cluster.limits(team).0 - held.on_demand - held.spot).max(0.0);
+            let left_of_limit = (cluster.limits(team).0 - held_cores).max(0.0);
             let waiting_on_demand = waiting.on_demand.min(left_of_limit);
-            demand.on_demand += held.on_demand - held_by_suspects.on_demand + waiting_on_demand;
-            demand.spot += held.spot - held_by_suspects.spot + waiting.spot.min(left_of_limit - waiting_on_demand);
+            demand.on_demand += held.on_demand + waiting_on_demand;
+            demand.spot += held.spot + waiting.spot.min(left_of_limit - waiting_on_demand);
         }
         demand
     }
 
+    /// Returns the number of tasks that a job holds and that count as demand, by the capacity type
+    /// that they need.
+    ///
+    /// The task with which a suspect job is tried doesn't count: it uses what other work leaves, or a
+    /// machine rented for it alone.
+    fn held_demand(&self, job: &Job, now: Micros) -> CoresByCapacityType {
+        let mut held = CoresByCapacityType::default();
+        if job.is_suspect(now) {
+            return held;
+        }
+        if job.spec.spot && job.is_service() {
+            for placement in job.active_placements() {
+                let machine = self.machines.get(&placement.machine);
+                *held.of_mut(machine.is_none_or(|m| needs_spot(job, m))) += 1.0;
+            }
+        } else {
+            *held.of_mut(job.spec.spot) = f64::from(job.held_tasks);
+        }
+        held
+    }
+
     /// Returns the cores of machines that can take new work, including machines that are booting
     /// or claimed. `had_agent_contact` is whether agents have had time to send this leader a
     /// heartbeat; until then, all machines appear to be booting.
@@ -196,10 +219,11 @@
                 .or_insert_with(|| self.is_latency_sensitive(cluster, class, now));
             if is_class_sensitive {
                 let cores = effective_cores(&job.spec, cluster);
-                let held = held_demand(job, now) * cores;
+                let held = self.held_demand(job, now).spot * cores;
                 backlog.latency_sensitive += held + waiting_demand(cluster, job, now) * cores;
             } else {
-                add_to_backlog(&mut backlog, cluster, job, mean_boot_s, now);
+                let held_tasks = self.held_demand(job, now).spot;
+                add_to_backlog(&mut backlog, cluster, job, held_tasks, mean_boot_s, now);
             }
         }
         backlog.needed_cores() - (available_cores - backlog.latency_sensitive).max(0.0)
@@ -230,7 +254,7 @@
                     Evacuation::All => false,
                 };
                 if holds && stays {
-                    *staying.of_mut(job.spec.spot) += effective_cores(&job.spec, cluster);
+                    *staying.of_mut(needs_spot(job, machine)) += effective_cores(&job.spec, cluster);
                 }
             }
         }
@@ -238,10 +262,25 @@
     }
 }
 
-/// Adds a job of a class that is not latency-sensitive to the backlog.
-fn add_to_backlog(backlog: &mut Backlog, cluster: &ClusterConfig, job: &Job, mean_boot_s: f64, now: Micros) {
+/// Returns whether a task of the job on this machine counts as work for spot machines. A service that
+/// may use spot machines but runs on an on-demand machine doesn't: it stays there, and its cores
+/// don't become free for work that needs on-demand machines.
+fn needs_spot(job: &Job, machine: &Machine) -> bool {
+    job.spec.spot && (machine.spot || !job.is_service())
+}
+
+/// Adds a job of a class that is not latency-sensitive to the backlog. `held_tasks` is the number of
+/// its tasks that use spot machines, or on-demand machines for want of them.
+fn add_to_backlog(
+    backlog: &mut Backlog,
+    cluster: &ClusterConfig,
+    job: &Job,
+    held_tasks: f64,
+    mean_boot_s: f64,
+    now: Micros,
+) {
     let cores = effective_cores(&job.spec, cluster);
-    let held = held_demand(job, now) * cores;
+    let held = held_tasks * cores;
     backlog.total += held + waiting_demand(cluster, job, now) * cores;
     backlog.held += held;
     backlog.freed += held * (mean_boot_s / job.spec.estimate_s.max(1.0)).min(1.0) * FREED_SHARE;
@@ -261,16 +300,6 @@
     }
 }
 
-/// Returns the number of tasks that a job holds and that count as demand. The task with which a
-/// suspect job is tried doesn't: it uses what other work leaves, or a machine rented for it alone.
-fn held_demand(job: &Job, now: Micros) -> f64 {
-    if job.is_suspect(now) {
-        0.0
-    } else {
-        f64::from(job.held_tasks)
-    }
-}
-
 /// Returns the number of a job's waiting tasks that count as demand; 0 if the job may not run.
 fn waiting_demand(cluster: &ClusterConfig, job: &Job, now: Micros) -> f64 {
     if job.may_run() {
--- a/src/coordination/provisioning/jobs_without_machine.rs
+++ b/src/coordination/provisioning/jobs_without_machine.rs
@@ -63,12 +63,17 @@
 #[derive(Default)]
 struct Rooms<'a> {
     by_kind: BTreeMap<RoomKind<'a>, Vec<Room<'a>>>,
+    /// Cores on all on-demand machines beyond those that are kept free for services.
+    beyond_reserve: f64,
     /// Cores that work below production may use on machines shared with services.
     beside_services: f64,
 }
 
 impl<'a> Rooms<'a> {
     fn add(&mut self, kind: RoomKind<'a>, room: Room<'a>) {
+        if !kind.spot {
+            self.beyond_reserve += room.resources.cpus;
+        }
         if room.shared_with_services {
             self.beside_services += room.resources.cpus;
         }
@@ -78,7 +83,14 @@
     /// Returns whether any machine can take a task of the job.
     fn can_take(&self, request: &RoomRequest) -> bool {
         let mut allowed_kinds = self.by_kind.iter().filter(|(kind, _)| request.allows(kind));
-        allowed_kinds.any(|(_, rooms)| rooms.iter().any(|room| self.fits(room, request)))
+        allowed_kinds
+            .any(|(kind, rooms)| self.keeps_reserve(kind, request) && rooms.iter().any(|room| self.fits(room, request)))
+    }
+
+    /// Returns whether a task of the job leaves the on-demand machines the cores that are kept free
+    /// for services. The scheduler starts it only then.
+    fn keeps_reserve(&self, kind: &RoomKind, request: &RoomRequest) -> bool {
+        kind.spot || request.may_use_reserve || self.beyond_reserve + ROUNDING_TOLERANCE >= request.job.spec.cpus
     }
 
     fn fits(&self, room: &Room, request: &RoomRequest) -> bool {
@@ -132,6 +144,7 @@
     fn rooms<'a>(&'a self, cluster: &'a ClusterConfig, had_agent_contact: bool, now: Micros) -> Rooms<'a> {
         let mut rooms = Rooms {
             by_kind: BTreeMap::new(),
+            beyond_reserve: -self.service_reserve(),
             beside_services: -self.service_reserve(),
         };
         for machine in self.machines.values() {
