Count the running tasks of a suspect array as demand

Cause: since the claim of suspect jobs was changed, none of the tasks that a suspect job holds counted as demand, so that the task with which it is tried rents nothing. A large array that becomes suspect while most of its tasks run would have left all of them out, and other work would have been taken for served by the cores that these tasks hold. Change: one task is left out, the one that is tried. Found by reading; no play was seen to suffer from it.

--- a/src/coordination/provisioning/demand.rs
+++ b/src/coordination/provisioning/demand.rs
@@ -127,16 +127,14 @@
     /// machine rented for it alone.
     fn held_demand(&self, job: &Job, now: Micros) -> CoresByCapacityType {
         let mut held = CoresByCapacityType::default();
-        if job.is_suspect(now) {
-            return held;
-        }
+        let uncounted = u32::from(job.is_suspect(now));
         if job.spec.spot && job.is_service() {
-            for placement in job.active_placements() {
+            for placement in job.active_placements().skip(uncounted as usize) {
                 let machine = self.machines.get(&placement.machine);
                 *held.of_mut(machine.is_none_or(|m| needs_spot(job, m))) += 1.0;
             }
         } else {
-            *held.of_mut(job.spec.spot) = f64::from(job.held_tasks);
+            *held.of_mut(job.spec.spot) = f64::from(job.held_tasks.saturating_sub(uncounted));
         }
         held
     }
