--- a/src/coordination/agents/mod.rs
+++ b/src/coordination/agents/mod.rs
@@ -19,6 +19,7 @@
 mod machines;
 mod outbox;
 mod push;
+mod task_failures;
 
 use super::state::MachineId;
 use crate::protocol::agents::Heartbeat;
