--- a/src/coordination/state/job.rs
+++ b/src/coordination/state/job.rs
@@ -356,8 +356,8 @@
         !self.is_suspect(now) || (self.held_tasks == 0 && now >= self.backoff_until)
     }
 
-    /// Whether the job leaves the capacity to other work for now, because it is suspect. After
-    /// [`SUSPECT_JOB_DEFERENCE`] it claims capacity for one task like any other job.
+    /// Whether the job leaves the capacity to other work for now, because it is suspect. When
+    /// `SUSPECT_JOB_DEFERENCE` is over, it claims capacity for one task like any other job.
     pub fn is_deferred(&self, now: Micros) -> bool {
         let is_within_deference = now < self.backoff_until + SUSPECT_JOB_DEFERENCE;
         self.is_suspect(now) && (self.held_tasks > 0 || is_within_deference)
