Forget an ended attempt only when no copy of its start can run the task again

Cause: an agent ignores a start of an attempt that it lists. The leader let it forget the attempt as soon as no start was in an unanswered push or in the last response. A copy of a push that had been executed and answered, delivered later with token and incarnation still valid, then ran the task again, beside its next attempt. An action on stale knowledge: the answer says that a command was executed, not that no copy of it will be.

Why it works: `SentStarts::forget_proof` alone decides. A forget needs a message with a higher fencing token than every push of a start of the attempt, which the agent takes before it executes the message, or a completed task, whose kept result makes a repeated start exit at once. `Machine::has_forgettable_exits` was never read and is gone.

Two checks no longer count a repeated attempt at a completed task: that no attempt is started after it was forgotten, and that tasks which fetch their image are within their team's limit. The leader's own count of attempts without a record leaves them out for the same reason.

--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -148,14 +148,16 @@
             self.history.note(now, || {
                 format!("{machine} takes {task} attempt {attempt} token {fencing_token}")
             });
-            self.rules.check_accepted_start(now, task, &self.workers, &self.users);
+            self.rules
+                .check_accepted_start(now, task, &self.workers, &self.users, &self.results);
         }
         for (task, attempt) in &executed.forgotten {
             self.history.note(now, || {
                 format!("{machine} forgets {task} attempt {attempt} token {fencing_token}")
             });
         }
-        for (task, attempt) in &executed.repeated_starts {
+        // A task with a kept result exits with it and does not run again.
+        for (task, attempt) in executed.repeated_starts.iter().filter(|s| !self.results.contains(&s.0)) {
             let text =
                 format!("started_again: {machine} takes {task} attempt {attempt}, which it had forgotten, at {now}");
             self.rules.broken.push(text);
--- a/crates/emulator/src/machines.rs
+++ b/crates/emulator/src/machines.rs
@@ -300,6 +300,7 @@
             let Some(response) = self.handle_direct(&request) else {
                 return;
             };
+            self.repeat_direct_later(&request);
             self.cluster.faults.wait_to_pass(&route.back(), &self.name).await;
             if delivery != Delivery::Deliver
                 || self.cluster.faults.delivery(&route.back(), &self.name) != Delivery::Deliver
@@ -312,6 +313,28 @@
         }
     }
 
+    /// If the link copies these direct commands, executes the copy after a delay. Its response reaches
+    /// no controller.
+    fn repeat_direct_later(&self, request: &Request) {
+        let route = Route::between(Party::Direct, Party::Workers);
+        let Some(after) = self.cluster.faults.copy_delay(&route, &self.name) else {
+            return;
+        };
+        let (machine, request) = (self.clone(), request.clone());
+        let copy = async move {
+            Timer::after(after).await;
+            machine.wait_until_responsive().await;
+            let now = machine.cluster.now();
+            machine
+                .cluster
+                .fleet()
+                .history
+                .note(now, || format!("{} gets a copy of direct commands", machine.name));
+            machine.handle_direct(&request);
+        };
+        self.cluster.executor.spawn(copy).detach();
+    }
+
     /// Waits until the machine no longer hangs.
     async fn wait_until_responsive(&self) {
         loop {
--- a/crates/emulator/src/soak/draw.rs
+++ b/crates/emulator/src/soak/draw.rs
@@ -11,6 +11,12 @@
 const LARGE_SEED_INTERVAL: u64 = 10;
 /// One seed in this many runs without faults at the end for long enough to detect stranded jobs.
 const LONG_CALM_SEED_INTERVAL: u64 = 10;
+/// One seed in this many has copies of direct commands throughout.
+const COPIED_COMMANDS_SEED_INTERVAL: u64 = 3;
+/// Share of the direct commands that are copied in such a seed, and the shortest delay of a copy, in
+/// seconds. The longest delay is well over a lease.
+const COPIED_COMMANDS_SHARE: f64 = 0.5;
+const SHORTEST_COPY_DELAY_S: f64 = 0.1;
 /// Time without faults at the end of a plan, in seconds.
 const CALM_S: f64 = 20.0;
 /// The same time for the plans in which stranded jobs are checked.
@@ -39,7 +45,10 @@
 pub(super) fn draw(seed: u64, sizes: FixedSizes, network: u8) -> Plan {
     let mut rng = Rng::with_seed(seed);
     let experiment = draw_experiment(seed, sizes, network, &mut rng);
-    let faults = draw_faults(&experiment, &mut rng);
+    let mut faults = draw_faults(&experiment, &mut rng);
+    if seed % COPIED_COMMANDS_SEED_INTERVAL == 2 {
+        faults.push(copied_commands(&experiment));
+    }
     Plan {
         calm_s: if seed % LONG_CALM_SEED_INTERVAL == 5 {
             LONG_CALM_S
@@ -184,6 +193,23 @@
     }
 }
 
+/// Returns the fault that copies direct commands to all machines throughout the experiment.
+fn copied_commands(experiment: &Experiment) -> PlannedFault {
+    PlannedFault {
+        at_s: FIRST_FAULT_AFTER_S,
+        for_s: (experiment.duration_s - FIRST_FAULT_AFTER_S).max(1.0),
+        fault: Fault::Link {
+            route: Route::between(Party::Direct, Party::Workers),
+            hosts: 1.0,
+            fault: LinkFault::Copies {
+                share: COPIED_COMMANDS_SHARE,
+                least_s: SHORTEST_COPY_DELAY_S,
+                most_s: experiment.workers.lease_s * 1.5,
+            },
+        },
+    }
+}
+
 /// Draws a fault that begins at `at_s` and lasts `most_s` at most.
 fn draw_planned_fault(experiment: &Experiment, at_s: f64, most_s: f64, rng: &mut Rng) -> PlannedFault {
     PlannedFault {
--- a/crates/fakes/src/rules.rs
+++ b/crates/fakes/src/rules.rs
@@ -92,16 +92,20 @@
 
     /// Checks a team's limit after a worker has accepted a start. All attempts on machines, also
     /// those that still fetch their image, are covered by placement records and count towards the
-    /// limit.
+    /// limit. Only attempts at tasks with a kept result don't count: they exit with it as soon as
+    /// they have their image, and so are never on their machine.
     pub fn check_accepted_start(
         &mut self,
         now: u64,
         task: &str,
         workers: &BTreeMap<String, Worker>,
         users: &BTreeMap<String, User>,
+        results: &BTreeSet<String>,
     ) {
         let Some(user) = users.get(job_of(task)) else { return };
-        let held = team_use(&user.spec.team, workers, users, |w| w.unfinished_tasks().collect());
+        let held = team_use(&user.spec.team, workers, users, |w| {
+            w.unfinished_tasks().filter(|t| !results.contains(*t)).collect()
+        });
         self.check_limit(now, &user.spec.team, held, "with tasks that fetch their image");
     }
 
--- a/src/coordination/agents/heartbeat_status.rs
+++ b/src/coordination/agents/heartbeat_status.rs
@@ -51,7 +51,7 @@
             .get_mut(heartbeat.machine.as_str())
             .filter(|m| is_newer(m))
         {
-            machine.outbox.on_next_heartbeat();
+            machine.outbox.sent_starts.on_next_heartbeat();
         }
         self.apply_heartbeat_content(cluster, heartbeat, via, at, now)
     }
@@ -140,8 +140,10 @@
         }
         machine.address.clone_from(&heartbeat.addr);
         machine.describe(&heartbeat.machine_type, &heartbeat.zone, heartbeat.spot);
-        machine.fencing_token = machine.fencing_token.max(heartbeat.fencing_token);
-        machine.outbox.drop_starts_below(machine.fencing_token);
+        if heartbeat.fencing_token > machine.fencing_token {
+            machine.fencing_token = heartbeat.fencing_token;
+            machine.outbox.sent_starts.drop_below(machine.fencing_token);
+        }
         if machine.state == MachineState::Booting {
             machine.state = MachineState::Up;
             let machine_type = cluster.catalogue.get(&heartbeat.machine_type);
@@ -204,6 +206,7 @@
     /// to forget those that have exited.
     fn update_orphans(&mut self, name: &MachineId, heartbeat: &Heartbeat, reasons: &mut CommandReasons) {
         let mut orphaned_attempts = vec![];
+        let mut kept_exits = 0;
         for listed in &heartbeat.tasks {
             let attempt = Attempt {
                 task: listed.task.clone(),
@@ -213,8 +216,14 @@
                 continue;
             }
             if listed.phase == TaskPhase::Exited {
-                reasons.forgets.insert(attempt);
+                let cause = listed.cause.unwrap_or(Cause::Other);
+                if self.may_forget(name, &attempt, cause) {
+                    reasons.forgets.insert(attempt, cause);
+                } else {
+                    kept_exits += 1;
+                }
             } else {
+                self.check_orphan(name, &attempt);
                 orphaned_attempts.push(attempt.clone());
                 reasons.orphaned_attempts.insert(attempt);
             }
@@ -222,12 +231,22 @@
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
+        machine.kept_exits = kept_exits;
         if machine.orphaned_attempts != orphaned_attempts {
             machine.orphaned_attempts = orphaned_attempts;
             self.needs_scheduling = true;
         }
     }
 
+    /// Returns whether a message under the present term may forget an attempt that has ended.
+    fn may_forget(&self, name: &MachineId, attempt: &Attempt, cause: Cause) -> bool {
+        let Some(machine) = self.machines.get(name) else {
+            return false;
+        };
+        let proof = machine.outbox.sent_starts.forget_proof(attempt, cause, self.term);
+        proof.is_some()
+    }
+
     /// Applies heartbeats that another controller has published in the state service because it
     /// can't reach this one.
     ///
--- a/src/coordination/agents/machines.rs
+++ b/src/coordination/agents/machines.rs
@@ -37,6 +37,7 @@
         self.read_proxied_machines(context, cluster);
         if holds_lease {
             self.release_failed_machines(cluster, now);
+            self.request_term_for_ended_attempts(cluster, now);
         }
         if now >= self.failures.next_straggler_check {
             self.failures.next_straggler_check = now + STRAGGLER_INTERVAL;
--- a/src/coordination/agents/mod.rs
+++ b/src/coordination/agents/mod.rs
@@ -8,17 +8,23 @@
 //! - `heartbeat_status`: applies heartbeats to the leader's state;
 //! - `outbox`: the reasons to send a machine commands, and the commands built from them;
 //! - `push`: sends commands outside of heartbeat responses;
+//! - `sent_starts`: the starts that may be executed again, and what proves that an ended attempt may
+//!   be forgotten;
+//! - `ended_attempts`: bounds the number of ended attempts that may not be forgotten yet;
 //! - `machines`: periodic checks, which run independently of heartbeats.
 //!
-//! Invariant: a start is sent only for a recorded placement, which notes the highest fencing token
-//! under which any start of the placement was sent.
+//! Invariants: a start is sent only for a recorded placement, which notes the highest fencing token
+//! under which any start of the placement was sent. An ended attempt is forgotten only with a
+//! [`ForgetProof`].
 
+mod ended_attempts;
 mod heartbeat_proxy;
 mod heartbeat_status;
 mod heartbeats;
 mod machines;
 mod outbox;
 mod push;
+mod sent_starts;
 mod task_failures;
 
 use super::state::MachineId;
@@ -27,6 +33,7 @@
 pub use heartbeat_proxy::{HeartbeatProxy, LeaseRenewer};
 pub use outbox::{Attempt, CommandReasons, Outbox, SendContext, TaskRef};
 pub use push::SentPush;
+pub use sent_starts::{ForgetProof, SentStarts};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The leader's state for sending commands to agents outside of heartbeat responses.
@@ -39,6 +46,8 @@
     push_heartbeats: Vec<Heartbeat>,
     /// When the periodic checks of machines run next.
     next_check: Micros,
+    /// When a higher term may be requested next because of ended attempts.
+    next_term_for_ended: Micros,
     /// When the lists of proxied machines may be read next.
     next_proxied_read: Micros,
     /// The versions, as last read, of the lists in which other controllers publish the machines
@@ -54,6 +63,7 @@
             pushes_in_flight: BTreeMap::new(),
             push_heartbeats: vec![],
             next_check: now,
+            next_term_for_ended: now,
             next_proxied_read: now,
             proxied_versions: BTreeMap::new(),
         }
--- a/src/coordination/agents/outbox.rs
+++ b/src/coordination/agents/outbox.rs
@@ -13,14 +13,14 @@
 //! more.
 
 use super::parse_task;
-use super::push::SentPush;
+use super::sent_starts::{started_attempt, SentStarts};
 use crate::coordination::api::JobApi;
 use crate::coordination::decision_log::Decided;
 use crate::coordination::lease_renewal::MAX_COMMANDS;
 use crate::coordination::state::void_proof::VoidProof;
 use crate::coordination::state::{LeaderState, Machine, MachineId, MachineState, PlacementPhase};
 use crate::coordination::JobId;
-use crate::protocol::agents::AgentCommand;
+use crate::protocol::agents::{AgentCommand, Cause};
 use crate::protocol::users::Phase;
 use crate::time::Micros;
 use std::collections::{BTreeMap, BTreeSet};
@@ -62,8 +62,8 @@
     pub orphaned_attempts: BTreeSet<Attempt>,
     /// Tasks whose start is recorded and may have to be sent.
     pub starts: BTreeSet<TaskRef>,
-    /// Attempts that have ended and that the agent may forget.
-    pub forgets: BTreeSet<Attempt>,
+    /// Attempts that have ended and that the agent may forget, with the causes of their ends.
+    pub forgets: BTreeMap<Attempt, Cause>,
     /// Whether a heartbeat under the current fencing token is wanted even if there is no command.
     /// Such a heartbeat proves which records of earlier leaders are void.
     pub wants_heartbeat: bool,
@@ -97,56 +97,15 @@
     pub reasons: CommandReasons,
     /// The request number of the push that has not been answered yet.
     pub in_flight: Option<u64>,
-    /// Starts whose push was not answered, with the fencing token of the push.
-    unanswered: BTreeMap<Attempt, u64>,
-    /// Starts in the response to the last heartbeat. The response may be in flight until the next
-    /// heartbeat, which the agent sends once the response has arrived or the agent has stopped
-    /// waiting for it.
-    in_response: BTreeSet<Attempt>,
+    /// The starts that the agent may still execute.
+    pub sent_starts: SentStarts,
 }
 
 impl Outbox {
-    /// Drops all reasons and unanswered starts, because the agent has a new incarnation, which has
-    /// no tasks and refuses commands to an earlier one.
+    /// Drops all reasons and sent starts, because the agent has a new incarnation.
     pub fn on_new_incarnation(&mut self) {
         self.reasons = CommandReasons::default();
-        self.unanswered.clear();
-    }
-
-    /// Drops unanswered starts with a lower fencing token than this one, because the agent now
-    /// refuses them.
-    pub fn drop_starts_below(&mut self, fencing_token: u64) {
-        self.unanswered.retain(|_, sent_under| *sent_under >= fencing_token);
-    }
-
-    /// Handles the agent's next heartbeat: the response to the last one has arrived or never will
-    /// arrive.
-    pub fn on_next_heartbeat(&mut self) {
-        self.in_response.clear();
-    }
-
-    /// Records the starts of a push that was not answered, which may be executed at any time.
-    pub fn mark_unanswered(&mut self, commands: &[AgentCommand], fencing_token: u64) {
-        for command in commands {
-            if let AgentCommand::Start { task, attempt } = command {
-                let attempt = Attempt {
-                    task: task.clone(),
-                    number: *attempt,
-                };
-                self.unanswered.insert(attempt, fencing_token);
-            }
-        }
-    }
-
-    /// Returns whether a start of this attempt was sent and may not have arrived yet.
-    fn start_may_arrive(&self, attempt: &Attempt, pushes_in_flight: &BTreeMap<u64, SentPush>) -> bool {
-        let is_start = |command: &AgentCommand| match command {
-            AgentCommand::Start { task, attempt: number } => *task == attempt.task && *number == attempt.number,
-            _ => false,
-        };
-        let push = self.in_flight.and_then(|id| pushes_in_flight.get(&id));
-        let in_flight = push.is_some_and(|push| push.commands.iter().any(is_start));
-        in_flight || self.unanswered.contains_key(attempt) || self.in_response.contains(attempt)
+        self.sent_starts.on_new_incarnation();
     }
 }
 
@@ -210,19 +169,13 @@
         let Some(machine) = self.machines.get_mut(name) else {
             return commands;
         };
-        for command in &commands {
-            let AgentCommand::Start { task, attempt } = command else {
-                continue;
-            };
-            let attempt = Attempt {
-                task: task.clone(),
-                number: *attempt,
-            };
-            machine.outbox.in_response.insert(attempt);
-            if let Some((job, task)) = parse_task(task) {
+        for attempt in commands.iter().filter_map(started_attempt) {
+            tracing::debug!(machine = %name, task = attempt.task, attempt = attempt.number, "start in the response to a heartbeat");
+            if let Some((job, task)) = parse_task(&attempt.task) {
                 let job = job.into();
                 machine.outbox.reasons.starts.remove(&TaskRef { job, task });
             }
+            machine.outbox.sent_starts.record_response(attempt);
         }
         commands
     }
@@ -251,10 +204,10 @@
             commands.extend(self.start_command(name, &task, send));
         }
         while commands.len() < MAX_COMMANDS {
-            let Some(attempt) = reasons.forgets.pop_first() else {
+            let Some((attempt, cause)) = reasons.forgets.pop_first() else {
                 break;
             };
-            commands.extend(self.forget_command(name, attempt));
+            commands.extend(self.forget_command(name, attempt, cause, send));
         }
         commands
     }
@@ -352,12 +305,23 @@
     }
 
     /// Builds the command to forget an attempt that has ended, unless its outcome is not recorded
-    /// yet or a start of it may still be in flight, which would run the task again.
-    fn forget_command(&self, name: &MachineId, attempt: Attempt) -> Option<AgentCommand> {
-        let machine = self.machines.get(name)?;
-        if self.has_record(name, &attempt) || machine.outbox.start_may_arrive(&attempt, &self.agents.pushes_in_flight) {
+    /// yet or a repeated start of it could run the task again.
+    fn forget_command(
+        &mut self,
+        name: &MachineId,
+        attempt: Attempt,
+        cause: Cause,
+        send: &SendContext,
+    ) -> Option<AgentCommand> {
+        // Only starts under this leader's own term are known here.
+        if send.fencing_token != self.term || self.has_record(name, &attempt) {
             return None;
         }
+        let sent_starts = &mut self.machines.get_mut(name)?.outbox.sent_starts;
+        let proof = sent_starts.forget_proof(&attempt, cause, send.fencing_token)?;
+        sent_starts.on_forget(&attempt);
+        let (task, number, token) = (&attempt.task, attempt.number, send.fencing_token);
+        tracing::debug!(machine = %name, task, attempt = number, ?cause, ?proof, token, "forget sent");
         Some(AgentCommand::Forget {
             task: attempt.task,
             attempt: attempt.number,
--- a/src/coordination/agents/push.rs
+++ b/src/coordination/agents/push.rs
@@ -1,15 +1,15 @@
 //! Pushes: commands that the leader sends to agents outside of responses to heartbeats.
 //!
 //! At most one push is in flight to each machine. The push is relayed by the controller to which
-//! the agent sends its heartbeats, if that controller can be reached. An unanswered push may be
-//! executed at any time, so its starts are recorded in the machine's outbox.
+//! the agent sends its heartbeats, if that controller can be reached. A push may be executed, or
+//! executed again, at any time, so its starts are recorded in the machine's outbox.
 
 use super::outbox::{Attempt, SendContext};
 use crate::coordination::api::JobApi;
 use crate::coordination::election::{Election, Role};
 use crate::coordination::state::{LeaderState, Machine, MachineId};
 use crate::coordination::{ClusterConfig, Context, Effect, PushResult};
-use crate::protocol::agents::{AgentCommand, Heartbeat, PushedCommands, TaskPhase};
+use crate::protocol::agents::{AgentCommand, Cause, Heartbeat, PushedCommands, TaskPhase};
 use crate::protocol::peer::PeerMessage;
 use crate::time::Micros;
 
@@ -71,6 +71,10 @@
             return;
         }
         let mut reasons = std::mem::take(&mut machine.outbox.reasons);
+        if !machine.accepts_pushed_starts() {
+            // The response to the next heartbeat, which doesn't list these tasks, starts them.
+            reasons.starts.clear();
+        }
         let wants_heartbeat = std::mem::take(&mut reasons.wants_heartbeat);
         let send_context = SendContext {
             fencing_token: election.term(),
@@ -91,6 +95,10 @@
         let relay = machine.heartbeat_proxy.clone().filter(|node| is_reachable(node));
         let (id, sent) = send_push(context, election, machine, commands, relay.as_deref());
         machine.outbox.in_flight = Some(id);
+        machine
+            .outbox
+            .sent_starts
+            .record_push(&sent.commands, sent.fencing_token);
         self.agents.pushes_in_flight.insert(id, sent);
     }
 
@@ -102,9 +110,12 @@
         if let Some(machine) = self.machines.get_mut(&sent.machine) {
             machine.outbox.in_flight = None;
             match answer {
-                PushResult::Done(_) | PushResult::Rejected(_) => machine.note_delivery(sent.sent_at),
-                PushResult::Unknown => machine.outbox.mark_unanswered(&sent.commands, sent.fencing_token),
-                PushResult::NotSent => {}
+                PushResult::Done(_) | PushResult::Rejected(_) => {
+                    machine.note_delivery(sent.sent_at);
+                    machine.outbox.sent_starts.on_push_answer(&sent.commands);
+                }
+                PushResult::NotSent => machine.outbox.sent_starts.on_push_answer(&sent.commands),
+                PushResult::Unknown => {}
             }
         }
         if let PushResult::Done(heartbeat) | PushResult::Rejected(heartbeat) = answer {
@@ -130,12 +141,17 @@
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
-        let ended = heartbeat.tasks.iter().filter(|t| t.phase == TaskPhase::Exited);
-        let attempts = ended.map(|t| Attempt {
-            task: t.task.clone(),
-            number: t.attempt,
-        });
-        machine.outbox.reasons.forgets.extend(attempts);
+        for ended in heartbeat.tasks.iter().filter(|t| t.phase == TaskPhase::Exited) {
+            let attempt = Attempt {
+                task: ended.task.clone(),
+                number: ended.attempt,
+            };
+            let cause = ended.cause.unwrap_or(Cause::Other);
+            let proof = machine.outbox.sent_starts.forget_proof(&attempt, cause, self.term);
+            if proof.is_some() {
+                machine.outbox.reasons.forgets.insert(attempt, cause);
+            }
+        }
         if !machine.outbox.reasons.is_empty() {
             self.agents.outboxes.insert(name.clone());
         }
@@ -176,6 +192,7 @@
             timeout: PUSH_TIMEOUT,
         },
     });
+    tracing::debug!(machine = %machine.name, push = id, relay, token = fencing_token, commands = commands.len(), "push sent");
     let sent = SentPush {
         machine: machine.name.clone(),
         commands,
--- a/src/coordination/decision_log.rs
+++ b/src/coordination/decision_log.rs
@@ -71,6 +71,13 @@
         self.0.push_back(decision);
     }
 
+    /// The decisions about a task that are kept, the oldest first.
+    pub fn of_task<'a>(&'a self, job: &'a str, task: u32) -> impl Iterator<Item = &'a Decision> {
+        self.0
+            .iter()
+            .filter(move |decision| &*decision.job == job && decision.task == task)
+    }
+
     /// The latest decisions about a team, the oldest first.
     pub fn of_team<'a>(&'a self, team: &'a str) -> Vec<&'a Decision> {
         let of_team = self.0.iter().rev().filter(|decision| decision.team == team);
--- a/src/coordination/fault_injection.rs
+++ b/src/coordination/fault_injection.rs
@@ -12,6 +12,8 @@
     ForgetsChargeAtTakeover,
     /// A leader sends the starts that an earlier leader recorded.
     SendsInheritedStarts,
+    /// Ended attempts are forgotten once the pushes of their starts are answered.
+    ForgetsAfterAnswer,
 }
 
 /// Whether this fault is active in this process.
@@ -21,6 +23,7 @@
         InjectedFault::FreesWithoutProof => "frees-without-proof",
         InjectedFault::ForgetsChargeAtTakeover => "forgets-charge-at-takeover",
         InjectedFault::SendsInheritedStarts => "sends-inherited-starts",
+        InjectedFault::ForgetsAfterAnswer => "forgets-after-answer",
     };
     std::env::var("GLENHAVEN_PLANTED").is_ok_and(|planted| planted == name)
 }
--- a/src/coordination/invariants.rs
+++ b/src/coordination/invariants.rs
@@ -3,9 +3,10 @@
 //! Called by the leader's periodic work. A violation is logged as an error, with the decisions that
 //! led to it, and counted; a violation never ends the process and changes no decision.
 
+use super::agents::{parse_task, Attempt};
 use super::decision_log::Decisions;
 use super::scheduling::orphaned_attempt_specs;
-use super::state::{Job, LeaderState, Machine, PlacementPhase};
+use super::state::{Job, LeaderState, Machine, MachineId, PlacementPhase};
 use super::ClusterConfig;
 use crate::time::Micros;
 use std::collections::{BTreeMap, BTreeSet};
@@ -58,6 +59,33 @@
         self.invariants.broken += miscounted as u64;
     }
 
+    /// Checks that an attempt which a machine lists without a record was not started under the present
+    /// term: its record was freed too early, or it was forgotten too early and started again.
+    pub(super) fn check_orphan(&mut self, name: &MachineId, attempt: &Attempt) {
+        let Some(machine) = self.machines.get(name) else {
+            return;
+        };
+        let is_known = machine.orphaned_attempts.contains(attempt);
+        if is_known || !machine.outbox.sent_starts.was_pushed_under(attempt, self.term) {
+            return;
+        }
+        self.invariants.broken += 1;
+        tracing::error!(
+            machine = %name,
+            task = attempt.task,
+            attempt = attempt.number,
+            term = self.term,
+            incarnation = machine.incarnation,
+            "a machine lists an attempt without a record that was started under the present term"
+        );
+        let Some((job, task)) = parse_task(&attempt.task) else {
+            return;
+        };
+        for decision in self.invariants.decisions.of_task(job, task) {
+            tracing::info!(machine = %name, ?decision, "a decision before the violation");
+        }
+    }
+
     /// Checks that no team's tasks, as machines have listed them since this leadership began, exceed
     /// the team's limit. Earlier heartbeats don't count: a task that they list may have ended before
     /// another one began.
--- a/src/coordination/log/outcome.rs
+++ b/src/coordination/log/outcome.rs
@@ -183,7 +183,6 @@
             };
             if let Some(machine) = self.machines.get_mut(&placed.machine) {
                 machine.tasks.remove(&(written.job.clone(), task));
-                machine.has_forgettable_exits = true;
             }
         }
     }
@@ -223,7 +222,6 @@
                 let Some(machine) = self.machines.get_mut(&placement.machine) else {
                     continue;
                 };
-                machine.has_forgettable_exits = true;
                 machine.remove_task(id, *task, &job.spec, placement);
             }
         }
--- a/src/coordination/scheduling/quota.rs
+++ b/src/coordination/scheduling/quota.rs
@@ -8,7 +8,7 @@
 //! an attempt that a machine reports and that has no record is counted like a placement.
 
 use super::super::agents::parse_task;
-use super::super::state::{Job, Machine, MachineId};
+use super::super::state::{Job, Machine, MachineId, TaskState};
 use super::super::{ClusterConfig, JobId};
 use super::EPSILON;
 use crate::protocol::users::JobSpec;
@@ -88,15 +88,18 @@
 }
 
 /// Returns the job specs of the orphaned attempts: attempts that machines report and no record
-/// explains. Attempts of jobs that are no longer open are left out; a spec is repeated for each
-/// attempt.
+/// explains. Attempts of jobs that are no longer open are left out, and so are attempts at completed
+/// tasks, which exit with the kept result and do not run; a spec is repeated for each attempt.
 pub fn orphaned_attempt_specs<'a>(
     jobs: &'a BTreeMap<JobId, Job>,
     machines: impl Iterator<Item = &'a Machine>,
 ) -> impl Iterator<Item = &'a JobSpec> {
     let attempts = machines.flat_map(|machine| &machine.orphaned_attempts);
     attempts.filter_map(|attempt| {
-        let (job, _) = parse_task(&attempt.task)?;
-        jobs.get(job).map(|job| &job.spec)
+        let (job, task) = parse_task(&attempt.task)?;
+        let job = jobs.get(job)?;
+        let state = job.task_states.get(task as usize);
+        let is_completed = matches!(state, Some(TaskState::Finished | TaskState::Recorded));
+        (!is_completed).then_some(&job.spec)
     })
 }
--- a/src/coordination/state/machine.rs
+++ b/src/coordination/state/machine.rs
@@ -104,8 +104,9 @@
     pub fetching_images: BTreeSet<Rc<str>>,
     /// When scale-in first found the machine without a task; `None` if it has had one since.
     pub idle_since: Option<Micros>,
-    /// Whether the outcome of an exited task was recorded, so that the agent may forget the task.
-    pub has_forgettable_exits: bool,
+    /// The number of exited attempts without a record in the last heartbeat that the agent may not
+    /// forget under the present term.
+    pub kept_exits: usize,
     /// The reasons to send commands to the machine, and the starts that may be in flight to it.
     pub outbox: Outbox,
     /// When a task last completed on the machine; `None` if this leader has seen none.
@@ -157,7 +158,7 @@
             service_tasks: 0,
             candidate_index: None,
             idle_since: None,
-            has_forgettable_exits: false,
+            kept_exits: 0,
             outbox: Outbox::default(),
             last_completion: None,
             task_failures: BTreeMap::new(),
--- a/src/coordination/state/mod.rs
+++ b/src/coordination/state/mod.rs
@@ -139,6 +139,9 @@
     UnwantedStart,
     /// A job was cancelled while a start of one of its tasks may be in flight.
     StartOfCancelledJob,
+    /// Many ended attempts may be forgotten only under a higher fencing token than that of their
+    /// starts.
+    EndedAttempts,
 }
 
 impl NewTermReason {
@@ -147,6 +150,7 @@
         match self {
             NewTermReason::UnwantedStart => "a start that is no longer wanted may still be on its way",
             NewTermReason::StartOfCancelledJob => "a start of a cancelled job may still be on its way",
+            NewTermReason::EndedAttempts => "many ended attempts can only be forgotten under a higher term",
         }
     }
 }
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -8,6 +8,8 @@
 mod answers;
 mod close_queries;
 pub(crate) mod cloud;
+mod copied_starts;
+mod ended_attempts;
 pub(crate) mod fairness;
 mod fault_combinations;
 pub(crate) mod fault_injection;
@@ -205,6 +207,7 @@
     /// A deliberate fault that the search over combinations of faults must find.
     pub injected_fault: Option<fault_injection::Fault>,
     repeated_starts: fault_injection::RepeatedStarts,
+    ended_attempts: fault_injection::EndedAttempts,
     cached_answers: fault_injection::CachedAnswers,
     joined_submissions: fault_injection::JoinedSubmissions,
 }
@@ -258,6 +261,7 @@
             results: BTreeSet::new(),
             injected_fault: None,
             repeated_starts: BTreeMap::new(),
+            ended_attempts: BTreeMap::new(),
             cached_answers: BTreeMap::new(),
             joined_submissions: BTreeMap::new(),
             script,
--- a/tests/sim/one_way_faults.rs
+++ b/tests/sim/one_way_faults.rs
@@ -29,6 +29,9 @@
     "query-all-nodes for 60\nthrottle {n} share=0.16 for 60",
 ];
 
+/// A further fault of some seeds: machines get commands again that they have executed and answered.
+pub(crate) const COPIED_COMMANDS: &str = "copy-commands 0.5 for 60";
+
 /// Machines that a fault affects.
 #[derive(Clone, Debug)]
 pub(crate) enum MachineSelection {
@@ -58,6 +61,9 @@
     BlockOutbound(MachineSelection),
     /// This share of the pushed commands gets no reply and is executed once, 2 to 16 s later.
     LateCommands(f64),
+    /// Copies of this share of the pushed commands reach their machines again, from a fraction of a
+    /// second to well over a lease after the commands were executed and answered.
+    CopyCommands(f64),
     /// Machines execute pushed commands at once and reply up to this much later.
     DelayPushReplies(MachineSelection, u64),
     /// Machines die without notice.
@@ -72,6 +78,10 @@
 /// period.
 const THROTTLE_PERIOD: u64 = 100 * MS;
 
+/// Shortest and longest delay of the copy of a pushed command, in microseconds.
+const SHORTEST_COPY_DELAY: u64 = 100 * MS;
+const LONGEST_COPY_DELAY: u64 = 30 * SEC;
+
 impl MachineSelection {
     fn parse(words: &Words) -> Result<MachineSelection, String> {
         let count = words
@@ -107,6 +117,7 @@
             "replay-reports" => OneWayFault::ReplayReports(share()?),
             "block-outbound" => OneWayFault::BlockOutbound(MachineSelection::parse(words)?),
             "late-commands" => OneWayFault::LateCommands(share()?),
+            "copy-commands" => OneWayFault::CopyCommands(share()?),
             "delay-push-replies" => {
                 let by: f64 = words.num("by", 10.0)?;
                 OneWayFault::DelayPushReplies(MachineSelection::parse(words)?, (by * SEC as f64) as u64)
@@ -128,6 +139,7 @@
     pub(crate) fn longest_delay(&self) -> u64 {
         match self {
             OneWayFault::LateCommands(_) => 16 * SEC,
+            OneWayFault::CopyCommands(_) => LONGEST_COPY_DELAY,
             OneWayFault::DelayPushReplies(_, by) | OneWayFault::SlowState(by) => *by,
             _ => 0,
         }
@@ -142,6 +154,7 @@
     replayed_reports: BTreeMap<usize, f64>,
     blocked_outbound: BTreeMap<usize, BTreeSet<String>>,
     late_commands: BTreeMap<usize, f64>,
+    copied_commands: BTreeMap<usize, f64>,
     delayed_replies: BTreeMap<usize, (BTreeSet<String>, u64)>,
     slow_state: BTreeMap<usize, u64>,
     /// The throttled controller, and its share of the processor.
@@ -162,6 +175,7 @@
         self.replayed_reports.remove(&step);
         self.blocked_outbound.remove(&step);
         self.late_commands.remove(&step);
+        self.copied_commands.remove(&step);
         self.delayed_replies.remove(&step);
         self.slow_state.remove(&step);
         self.throttled.remove(&step);
@@ -216,6 +230,9 @@
             OneWayFault::LateCommands(share) => {
                 self.active_faults.one_way.late_commands.insert(step, *share);
             }
+            OneWayFault::CopyCommands(share) => {
+                self.active_faults.one_way.copied_commands.insert(step, *share);
+            }
             OneWayFault::DelayPushReplies(which, by) => {
                 let machines = self.machines(which);
                 self.active_faults.one_way.delayed_replies.insert(step, (machines, *by));
@@ -335,9 +352,24 @@
         }
     }
 
+    /// Delivers the commands again after a random delay, if drawn from the share. The reply to the
+    /// copy reaches no controller.
+    fn copy_commands(&mut self, n: usize, id: u64, addr: &str, body: &PushedCommands) {
+        let shares = self.active_faults.one_way.copied_commands.values();
+        let share = shares.copied().fold(0.0, f64::max);
+        if self.draw(share) {
+            let late = self.rng.u64(SHORTEST_COPY_DELAY..=LONGEST_COPY_DELAY);
+            self.after(
+                late,
+                ScheduledEvent::PushedCommands(n, u64::MAX, id, addr.into(), body.clone()),
+            );
+        }
+    }
+
     /// Pushes commands to a machine. Commands that the fault delays by 2 to 16 s are executed
     /// without a reply to any controller.
     pub(crate) fn push_commands(&mut self, n: usize, life: u64, id: u64, hop: u64, addr: String, body: PushedCommands) {
+        self.copy_commands(n, id, &addr, &body);
         let held = self.active_faults.push_delays.values().copied().max().unwrap_or(0);
         let shares = self.active_faults.one_way.late_commands.values();
         let share = shares.copied().fold(0.0, f64::max);
