--- a/src/coordination/agents/ended_attempts.rs
+++ b/src/coordination/agents/ended_attempts.rs
@@ -25,7 +25,7 @@
     /// Returns whether starts may be pushed to the machine. Otherwise they are sent in responses to
     /// its heartbeats.
     pub fn accepts_pushed_starts(&self) -> bool {
-        self.kept_exits < MAX_ON_MACHINE
+        self.retained_exits < MAX_ON_MACHINE
     }
 }
 
@@ -33,8 +33,8 @@
     /// Requests a higher term if too many ended attempts wait to be forgotten.
     pub fn request_term_for_ended_attempts(&mut self, cluster: &ClusterConfig, now: Micros) {
         let interval = Micros::from_secs(RAISE_INTERVAL_LEASES * cluster.settings.params.workers.lease_s);
-        let total: usize = self.machines.values().map(|machine| machine.kept_exits).sum();
-        let largest = self.machines.values().map(|machine| machine.kept_exits).max();
+        let total: usize = self.machines.values().map(|machine| machine.retained_exits).sum();
+        let largest = self.machines.values().map(|machine| machine.retained_exits).max();
         let is_many = total >= RAISE_ON_MACHINE && total >= RAISE_MEAN * self.machines.len();
         let is_needed = is_many || largest >= Some(RAISE_ON_MACHINE);
         if !is_needed || now < self.agents.next_term_for_ended {
--- a/src/coordination/agents/heartbeat_status.rs
+++ b/src/coordination/agents/heartbeat_status.rs
@@ -206,7 +206,7 @@
     /// to forget those that have exited.
     fn update_orphans(&mut self, name: &MachineId, heartbeat: &Heartbeat, reasons: &mut CommandReasons) {
         let mut orphaned_attempts = vec![];
-        let mut kept_exits = 0;
+        let mut retained_exits = 0;
         for listed in &heartbeat.tasks {
             let attempt = Attempt {
                 task: listed.task.clone(),
@@ -220,7 +220,7 @@
                 if self.may_forget(name, &attempt, cause) {
                     reasons.forgets.insert(attempt, cause);
                 } else {
-                    kept_exits += 1;
+                    retained_exits += 1;
                 }
             } else {
                 self.check_orphan(name, &attempt);
@@ -231,7 +231,7 @@
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
-        machine.kept_exits = kept_exits;
+        machine.retained_exits = retained_exits;
         if machine.orphaned_attempts != orphaned_attempts {
             machine.orphaned_attempts = orphaned_attempts;
             self.needs_scheduling = true;
--- a/src/coordination/state/machine.rs
+++ b/src/coordination/state/machine.rs
@@ -106,7 +106,7 @@
     pub idle_since: Option<Micros>,
     /// The number of exited attempts without a record in the last heartbeat that the agent may not
     /// forget under the present term.
-    pub kept_exits: usize,
+    pub retained_exits: usize,
     /// The reasons to send commands to the machine, and the starts that may be in flight to it.
     pub outbox: Outbox,
     /// When a task last completed on the machine; `None` if this leader has seen none.
@@ -158,7 +158,7 @@
             service_tasks: 0,
             candidate_index: None,
             idle_since: None,
-            kept_exits: 0,
+            retained_exits: 0,
             outbox: Outbox::default(),
             last_completion: None,
             task_failures: BTreeMap::new(),
--- a/src/coordination/summary.rs
+++ b/src/coordination/summary.rs
@@ -104,7 +104,7 @@
             booting,
             doomed = self.machines.len() - up - booting,
             inherited = self.unconfirmed_inherited_records(),
-            kept_exits = self.machines.values().map(|m| m.kept_exits).sum::<usize>(),
+            retained_exits = self.machines.values().map(|m| m.retained_exits).sum::<usize>(),
             unexplained = self.machines.values().map(|m| m.orphaned_attempts.len()).sum::<usize>(),
             helpers = self.scheduler.helpers.cores,
             pools = ?self.scheduler.pools.iter().map(|(k, v)| format!("{}x{}={}", k.class, k.slots_per_task, v)).collect::<Vec<_>>(),
--- a/tests/sim/ended_attempts.rs
+++ b/tests/sim/ended_attempts.rs
@@ -101,11 +101,11 @@
 fn an_attempt_whose_start_was_answered_is_forgotten_only_under_a_higher_term() {
     let mut leader = leader_with_answered_starts(2);
     assert_eq!(forgotten_in_response(&mut leader, &stopped(2, 1, 0..2)), 0);
-    assert_eq!(leader.machines["n-000001"].kept_exits, 2);
+    assert_eq!(leader.machines["n-000001"].retained_exits, 2);
     leader.term_raised(2);
     // The agent does not have the new token yet: the response that forgets the attempts brings it.
     assert_eq!(forgotten_in_response(&mut leader, &stopped(3, 1, 0..2)), 2);
-    assert_eq!(leader.machines["n-000001"].kept_exits, 0);
+    assert_eq!(leader.machines["n-000001"].retained_exits, 0);
 }
 
 #[test]
