--- a/tests/sim/copied_starts.rs
+++ b/tests/sim/copied_starts.rs
@@ -32,7 +32,7 @@
     at 2 submit run-000101 pieces=40 run=14 estimate=14 class=two\n\
     at 36 slow 1 every=10 times=3\n";
 /// Tasks that fail on a few machines and then start on others.
-const FAILED: &str = "at 22 submit run-000100 run=20 every=2 times=26\n\
+const FAILED: &str = "at 22 submit run-000100 run=20 every=1.6 times=33\n\
     at 30 faulty 2 for 6 every=12 times=5\n";
 /// Short tasks, some of whose jobs are cancelled while their second task waits or runs.
 const COMPLETED: &str = "team red cpus=1 max=1\n\
