Answer 201 only for a job that no earlier page accepts

What callers saw: a job that one controller had accepted was accepted anew, with 201, by another one that the user asked 0.1 s later. PROTOCOL: an accepted job that is submitted again is answered 200.

Cause: an answer on stale knowledge, by a check in one path and not in another. A follower learns of other controllers' pages up to 0.4 s late. Until then it wrote the job into a page of its own, and the commit of that page answered 201. Its conditions are the job's own key and the slot of the page: they show that the job has not ended, not that no other page accepts it. Polls and refusals read all changes of jobs in this state, and so did submissions of jobs with dependencies; all other submissions did not.

Fix: api/acceptance_status.rs is the only place that says 201, for jobs with and without dependencies. It needs two proofs that both were sent after the submission had arrived: the commit of the page, and a read of all changes of jobs that shows no page with the job at a lower revision. Whoever had been told that the job is accepted was told so after a page that this read shows. The read leaves with the write of the page, so that it adds no round trip, and at most one is sent for each page. If it is lost, refused or takes more than 100 ms after the commit, the answer is 200, which is true of every stored job. A job that waits for dependencies still waits for the read, which shows their ends.

Lines for the next time, at info: answers to submissions by kind, and refusals by status, every ten seconds; a line for each job that an earlier page accepted, with both controllers and revisions, and for each 400, 404 and 422, at most 20 between two summaries.

Checks: the checkers of the simulation, of the search and of the soak know the sentence of the protocol (accepted_anew); the one that knows what is stored is stricter and asks for 200 as soon as a page was stored when the submission was sent. The stand-in delays and loses reads of all changes as it does other reads. Injected faults: AcceptsAnew in the search, accepts-anew in the soak. An older assertion of an_answer_older_than_its_request_is_reported took a 201 that was asked after the page was stored for right; it says 200 now, and a test beside it asks that the 201 is reported.

--- a/crates/emulator/src/soak/draw.rs
+++ b/crates/emulator/src/soak/draw.rs
@@ -58,6 +58,7 @@
         users: Users {
             close_questions: rng.f64() * 0.5,
             cancelled_at_end: rng.f64(),
+            resubmitted_after_poll: rng.f64(),
         },
         experiment,
         faults,
--- a/crates/emulator/src/soak/plan.rs
+++ b/crates/emulator/src/soak/plan.rs
@@ -31,6 +31,10 @@
     pub close_questions: f64,
     /// Share of the cancelled jobs that are cancelled at about the time at which their tasks end.
     pub cancelled_at_end: f64,
+    /// Share of the users that poll a job that was just accepted at a second controller and submit
+    /// it again at a third, each as soon as the request before is answered.
+    #[serde(default)]
+    pub resubmitted_after_poll: f64,
 }
 
 /// A fault with its start and duration, in seconds.
--- a/crates/emulator/src/soak/users.rs
+++ b/crates/emulator/src/soak/users.rs
@@ -13,8 +13,8 @@
 use glenhaven::protocol::from_cbor;
 use glenhaven::protocol::users::{JobState, Phase};
 use glenhaven_fakes::answer_check::{CheckedAnswer, StoredJob};
-use glenhaven_fakes::http::Response;
-use glenhaven_fakes::user::{RequestKind, User};
+use glenhaven_fakes::http::{Request, Response};
+use glenhaven_fakes::user::{with_unknown_field, RequestKind, User};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -45,6 +45,7 @@
     let run = Duration::from_micros(user.run_time);
     cluster.fleet().users.insert(job.clone(), user);
     let follows_up = cluster.fleet().rng.f64() < users.close_questions;
+    let resubmits = cluster.fleet().rng.f64() < users.resubmitted_after_poll;
     let began = Instant::now();
     let mut cancel_at = match cancel_timing {
         CancelTiming::Never | CancelTiming::AtEnd => None,
@@ -53,8 +54,12 @@
     let mut last_phase = None;
     loop {
         let asked = next_request(&cluster, &job, cancel_at);
-        let answer = ask_any_controller(&cluster, &job, asked).await;
+        let node = any_controller(&cluster);
+        let answer = ask(&cluster, &job, node, asked).await;
         if let Some(phase) = answer {
+            if resubmits && last_phase.is_none() {
+                poll_then_resubmit(&cluster, &job, node).await;
+            }
             if follows_up && last_phase != Some(phase) {
                 ask_all_controllers(&cluster, &job);
             }
@@ -93,10 +98,23 @@
     }
 }
 
-/// Sends a request to a random controller.
-async fn ask_any_controller(cluster: &Arc<EmulatedCluster>, job: &str, asked: RequestKind) -> Option<Phase> {
-    let node = cluster.fleet().rng.usize(0..cluster.nodes.len());
-    ask(cluster, job, node, asked).await
+/// Returns a random controller.
+fn any_controller(cluster: &EmulatedCluster) -> usize {
+    cluster.fleet().rng.usize(0..cluster.nodes.len())
+}
+
+/// Polls a job that controller `first` has just accepted at the next controller, and submits it
+/// again, with a field that the protocol does not name, at the one after that.
+async fn poll_then_resubmit(cluster: &Arc<EmulatedCluster>, job: &str, first: usize) {
+    let nodes = cluster.nodes.len();
+    ask(cluster, job, (first + 1) % nodes, RequestKind::Poll).await;
+    let Some(spec) = cluster.fleet().users.get(job).map(|user| user.spec.clone()) else {
+        return;
+    };
+    let mut resubmission = request(RequestKind::Submit, &spec);
+    resubmission.body = with_unknown_field(&resubmission.body);
+    let node = (first + 2) % nodes;
+    exchange_checked(cluster, job, node, RequestKind::Submit, &resubmission).await;
 }
 
 /// Sends polls and repeated submissions to all controllers within milliseconds, in the background.
@@ -122,15 +140,26 @@
 /// Sends one request and returns the phase in its response, if there is an accepted one in time.
 pub(super) async fn ask(cluster: &Arc<EmulatedCluster>, job: &str, node: usize, asked: RequestKind) -> Option<Phase> {
     let spec = cluster.fleet().users.get(job)?.spec.clone();
+    exchange_checked(cluster, job, node, asked, &request(asked, &spec)).await
+}
+
+/// Sends this request and checks the response; returns the phase in it, if there is an accepted one
+/// in time.
+async fn exchange_checked(
+    cluster: &Arc<EmulatedCluster>,
+    job: &str,
+    node: usize,
+    asked: RequestKind,
+    request: &Request,
+) -> Option<Phase> {
     let before = StoredJob::of(&cluster.store(), job);
-    let request = request(asked, &spec);
     let route = Route::between(Party::Users, Party::Node(node));
     let exchange = async {
         cluster.faults.wait_to_pass(&route, "").await;
         if cluster.faults.delivery(&route, "") != Delivery::Deliver {
             return None;
         }
-        let answer = exchange(cluster, None, node, Side::Users, &request).await;
+        let answer = exchange(cluster, None, node, Side::Users, request).await;
         cluster.faults.wait_to_pass(&route.back(), "").await;
         answer
     };
--- a/crates/fakes/src/answer_check.rs
+++ b/crates/fakes/src/answer_check.rs
@@ -54,6 +54,9 @@
         let job = &self.user.spec.id;
         let asked = self.asked;
         match self.status {
+            201 if self.before.is_stored() => Some(format!(
+                "accepted_anew: {asked:?} of {job} was answered 201, but the job was stored when it was sent"
+            )),
             200 | 201 => {
                 let state: Option<JobState> = from_cbor(self.body).ok();
                 match state {
--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -468,8 +468,8 @@
         }
     }
 
-    /// Executes a request and returns its answer. A watch is answered as malformed: the caller has
-    /// to serve watches, by `has_events_since` and `events_since`.
+    /// Executes a request and returns its answer. A watch that waits is answered as malformed: the
+    /// caller has to serve it, by `has_events_since` and `events_since`.
     pub fn answer(&mut self, request: &StoreRequest, now: u64) -> StoreResponse {
         match request {
             StoreRequest::Get { key } => match self.keys.get(key) {
@@ -482,24 +482,7 @@
                     revision: self.revision,
                 },
             },
-            StoreRequest::List { prefix, after } => {
-                let rows: Vec<Row> = self
-                    .keys
-                    .iter()
-                    .filter(|(k, _)| k.starts_with(prefix.as_str()) && *k > after)
-                    .map(|(k, e)| Row {
-                        key: k.clone(),
-                        value: e.value.clone(),
-                        version: e.version,
-                    })
-                    .collect();
-                let more = rows.len() > self.page_size;
-                StoreResponse::Rows(Rows {
-                    items: rows.into_iter().take(self.page_size).collect(),
-                    more,
-                    revision: self.revision,
-                })
-            }
+            StoreRequest::List { prefix, after } => self.list(prefix, after),
             StoreRequest::Transaction(txn) => self.apply(txn),
             StoreRequest::Grant { ttl_ms } => {
                 self.revision += 1;
@@ -529,10 +512,43 @@
                 }
                 None => StoreResponse::NoLease,
             },
+            StoreRequest::Watch {
+                prefix,
+                after,
+                wait_ms: 0,
+            } => self.changes_or_compacted(prefix, *after),
             StoreRequest::Watch { .. } => StoreResponse::Malformed,
         }
     }
 
+    /// Returns a page of the keys with this prefix after a key.
+    fn list(&self, prefix: &str, after: &str) -> StoreResponse {
+        let rows: Vec<Row> = self
+            .keys
+            .iter()
+            .filter(|(k, _)| k.starts_with(prefix) && k.as_str() > after)
+            .map(|(k, e)| Row {
+                key: k.clone(),
+                value: e.value.clone(),
+                version: e.version,
+            })
+            .collect();
+        let more = rows.len() > self.page_size;
+        StoreResponse::Rows(Rows {
+            items: rows.into_iter().take(self.page_size).collect(),
+            more,
+            revision: self.revision,
+        })
+    }
+
+    /// Returns the answer to a watch from this revision that waits no longer.
+    pub fn changes_or_compacted(&self, prefix: &str, after: u64) -> StoreResponse {
+        if self.is_compacted(after) {
+            return StoreResponse::Compacted;
+        }
+        StoreResponse::Events(self.events_since(prefix, after))
+    }
+
     /// Removes all but the latest `most` changes from the log; see `is_compacted`.
     pub fn compact(&mut self, most: usize) {
         let over = self.log.len().saturating_sub(most);
--- a/crates/fakes/src/user.rs
+++ b/crates/fakes/src/user.rs
@@ -2,8 +2,8 @@
 
 use crate::rules::Rules;
 use crate::SEC;
-use glenhaven::protocol::from_cbor;
 use glenhaven::protocol::users::{JobSpec, JobState, Phase, Priority, Shape};
+use glenhaven::protocol::{from_cbor, to_cbor};
 use glenhaven::transport::server::HttpResponse;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -217,6 +217,9 @@
     }
     let known = user.accepted.is_some();
     match (status, state) {
+        (201, _) if known => rules
+            .broken
+            .push(format!("accepted_anew: {job} answered 201 to a repeated submission")),
         (200 | 201, Some(state)) => {
             rules.check_final_phase(job, state.phase, &users[job]);
             rules.check_answer(received.now, job, state.phase, results, &users[job], users);
@@ -243,6 +246,13 @@
     task.rsplit_once('/').map_or(task, |x| x.0)
 }
 
+/// Returns the submission with a field that the protocol does not name.
+pub fn with_unknown_field(submission: &[u8]) -> Vec<u8> {
+    let mut fields: BTreeMap<String, ciborium::Value> = from_cbor(submission).unwrap_or_default();
+    fields.insert("pieces2".into(), ciborium::Value::from(7));
+    to_cbor(&fields)
+}
+
 /// Returns the description of a job with one small task and default settings.
 pub fn plain_spec(id: &str) -> JobSpec {
     JobSpec {
--- a/crates/fakes/tests/checker.rs
+++ b/crates/fakes/tests/checker.rs
@@ -7,10 +7,11 @@
 use glenhaven::protocol::to_cbor;
 use glenhaven::protocol::users::{JobSpec, JobState, Phase, Shape};
 use glenhaven::settings::Team;
+use glenhaven::transport::server::HttpResponse;
 use glenhaven_fakes::answer_check::{CheckedAnswer, StoredJob};
 use glenhaven_fakes::rules::Rules;
 use glenhaven_fakes::store::Store;
-use glenhaven_fakes::user::{plain_spec, RequestKind, User};
+use glenhaven_fakes::user::{deliver_answer, plain_spec, ReceivedAnswer, RequestKind, User};
 use glenhaven_fakes::worker::{Executed, Worker};
 use glenhaven_fakes::SEC;
 use std::collections::{BTreeMap, BTreeSet};
@@ -297,6 +298,7 @@
     };
     // Correct answers.
     assert_eq!(checked(nothing, open, RequestKind::Submit, 201, Phase::Pending), None);
+    assert_eq!(checked(open, open, RequestKind::Submit, 200, Phase::Pending), None);
     assert_eq!(checked(open, cancelled, RequestKind::Poll, 200, Phase::Running), None);
     assert_eq!(
         checked(open, cancelled, RequestKind::Abort, 200, Phase::Cancelled),
@@ -306,6 +308,10 @@
     assert_eq!(checked(nothing, open, RequestKind::Poll, 404, Phase::Pending), None);
     assert_eq!(checked(done, done, RequestKind::Poll, 503, Phase::Pending), None);
     // Wrong answers.
+    starts(
+        checked(open, open, RequestKind::Submit, 201, Phase::Pending),
+        "accepted_anew",
+    );
     starts(
         checked(cancelled, cancelled, RequestKind::Submit, 200, Phase::Pending),
         "went_back",
@@ -330,6 +336,37 @@
     );
 }
 
+#[test]
+fn a_submission_of_an_accepted_job_that_is_answered_201_is_reported() {
+    let mut world = World::new(8.0, 0.0, job(1));
+    let state = JobState {
+        id: JOB.into(),
+        phase: Phase::Pending,
+        done: None,
+        running: None,
+    };
+    let mut deliver = |status| {
+        let answer = HttpResponse {
+            status,
+            body: to_cbor(&state),
+            retry_after_s: None,
+        };
+        let received = ReceivedAnswer {
+            now: 1,
+            left: 1,
+            faults_over_at: 0,
+            asked: RequestKind::Submit,
+            answer: &answer,
+        };
+        deliver_answer(&mut world.users, &world.results, &mut world.rules, JOB, &received);
+        world.rules.broken.clone()
+    };
+    assert!(deliver(201).is_empty());
+    assert!(deliver(200).is_empty());
+    let broken = deliver(201);
+    assert!(broken.iter().any(|b| b.starts_with("accepted_anew")), "{broken:?}");
+}
+
 #[test]
 fn a_job_called_done_too_early_or_cancelled_by_nobody_is_reported() {
     let held = |phase| StoredJob {
--- a/src/coordination/api/acceptance.rs
+++ b/src/coordination/api/acceptance.rs
@@ -9,8 +9,9 @@
 
 use super::super::store_queue::Urgency;
 use super::super::{ClusterConfig, Context, Continuation};
+use super::acceptance_status::OwnPage;
 use super::read_proof::{ProofSource, ReadProof, RequestSequence};
-use super::status::JobStatus;
+use super::status::{FirstPage, JobStatus};
 use super::{ApiContinuation, JobApi, Refusal, PAGE_FRAME_BYTES, PAGE_WRITE_TIMEOUT};
 use crate::protocol::store::{Change, Condition, StoreRequest, StoreResponse, Transaction, WatchEvent};
 use crate::protocol::users::{JobSpec, Phase, Shape};
@@ -80,23 +81,35 @@
             let has_ended = |id: &str| known.get(id).is_some_and(|k| k.phase.is_final());
             self.group_commit.page_seen(slot, version, &jobs, has_ended);
         }
+        let accepted_by = FirstPage {
+            revision: version,
+            node: self.page_node(node),
+        };
         for spec in page.jobs {
-            self.apply_accepted_job(spec, version, new);
+            self.apply_accepted_job(spec, accepted_by, new);
+        }
+    }
+
+    /// Returns the index of a node in `page_nodes`.
+    fn page_node(&mut self, node: &str) -> usize {
+        if let Some(index) = self.page_nodes.iter().position(|known| known == node) {
+            return index;
         }
+        self.page_nodes.push(node.to_string());
+        self.page_nodes.len() - 1
     }
 
-    /// Applies a job of a page that was written at this revision. `checked` means that the job had
-    /// not ended at that revision and that this node will receive all later changes of its key.
-    fn apply_accepted_job(&mut self, spec: JobSpec, version: u64, checked: bool) {
+    /// Applies a job of a page. `checked` means that the job had not ended at the page's revision
+    /// and that this node will receive all later changes of its key.
+    fn apply_accepted_job(&mut self, spec: JobSpec, page: FirstPage, checked: bool) {
         let (job, service) = (spec.id.clone(), spec.shape == Shape::Service);
-        self.add_to_dependency_graph(spec, version);
+        self.add_to_dependency_graph(spec, page.revision);
         if let Some(status) = self.statuses.get_mut(&job) {
             status.checked |= checked;
             status.service |= service;
-            if status.page == 0 {
-                status.page = version;
+            if status.first_page.is_none_or(|first| page.revision < first.revision) {
+                status.first_page = Some(page);
             }
-            status.repeated |= status.page != version;
             if status.checked && !status.phase.is_final() {
                 self.dependency_graph.mark_open(&job);
             }
@@ -115,8 +128,7 @@
                 phase: Phase::Pending,
                 checked,
                 service,
-                page: version,
-                repeated: false,
+                first_page: Some(page),
             },
         );
     }
@@ -155,9 +167,17 @@
             .set_held_back_changes(self.group_commit.pages_waiting(capacity) as f64);
     }
 
-    /// Sends the write of a page, on condition that none of its jobs has a key of its own.
-    fn write_page(&self, context: &mut Context, batch: Batch<Box<JobSpec>>) {
+    /// Sends the write of a page, on condition that none of its jobs has a key of its own, and
+    /// requests a read of all changes, which shows whether another page accepted one of them before.
+    fn write_page(&mut self, context: &mut Context, batch: Batch<Box<JobSpec>>) {
         let key = keys::acceptance_page(&self.node, batch.slot);
+        let submissions: Vec<u64> = batch
+            .jobs
+            .iter()
+            .filter_map(|(job, _)| self.submissions.get(job))
+            .flatten()
+            .copied()
+            .collect();
         let mut conditions = vec![Condition {
             key: key.clone(),
             version: batch.version,
@@ -192,36 +212,45 @@
         context
             .store
             .push(Urgency::User, request, continuation, PAGE_WRITE_TIMEOUT);
+        self.awaiting_job_changes.extend(submissions);
+        self.page_needs_changes = true;
     }
 
-    /// Answers the submissions of a page that was committed. Requests that arrived after the write
-    /// had been sent are not covered by the commit and take their next step.
-    fn on_page_committed(&mut self, context: &mut Context, number: u64, proof: &ReadProof) {
+    /// Applies the jobs of a page that was committed, and answers its submissions for which all
+    /// changes of jobs were read. Requests that arrived after the write had been sent are not covered
+    /// by the commit and take their next step.
+    fn on_page_committed(&mut self, context: &mut Context, cluster: &ClusterConfig, number: u64, proof: &ReadProof) {
         let known = &self.statuses;
         let has_ended = |id: &str| known.get(id).is_some_and(|k| k.phase.is_final());
-        for (job, spec) in self.group_commit.committed(number, proof.revision, has_ended) {
-            self.apply_accepted_job(*spec, proof.revision, true);
-            let phase = self.statuses.get(&job).map_or(Phase::Pending, |k| k.phase);
-            let phase = self.final_phase(&job).unwrap_or(phase);
-            // Another node may have accepted the job earlier, and may have answered a user since
-            // then that the job was cancelled with a dependency. A read of all changes shows this.
-            let waits = !phase.is_final() && self.waits_for_dependencies(&job);
+        let accepted = self.group_commit.committed(number, proof.revision, has_ended);
+        let own_node = self.node.clone();
+        let page = FirstPage {
+            revision: proof.revision,
+            node: self.page_node(&own_node),
+        };
+        for (job, spec) in accepted {
+            self.apply_accepted_job(*spec, page, true);
             for id in self.submissions.remove(&job).unwrap_or_default() {
-                if waits {
-                    self.await_job_changes(id, proof);
-                } else {
-                    self.answer_if_fresh(context, id, phase, 201, proof);
-                }
+                self.on_submission_stored(context, cluster, id, proof);
             }
         }
     }
 
-    /// Queues a submission for a read of all changes, after which it is answered. Its job has
-    /// dependencies and was accepted by the given page of this node.
-    fn await_job_changes(&mut self, id: u64, page: &ReadProof) {
-        if let Some(pending) = self.pending.get_mut(&id) {
-            pending.accepted_by_own_page = page.covers(pending.sequence);
-            self.awaiting_job_changes.push(id);
+    /// Records the page of this node that accepts the job of a submission, and answers the
+    /// submission if all changes of jobs were read for it.
+    fn on_submission_stored(&mut self, context: &mut Context, cluster: &ClusterConfig, id: u64, page: &ReadProof) {
+        let Some(pending) = self.pending.get_mut(&id) else {
+            return;
+        };
+        if !page.covers(pending.sequence) {
+            return self.request_fresh_proof(id);
+        }
+        pending.own_page = Some(OwnPage {
+            proof: *page,
+            committed_at: context.now,
+        });
+        if let Some(changes) = pending.changes_proof {
+            self.on_changes_known(context, cluster, id, &changes);
         }
     }
 
@@ -252,7 +281,7 @@
         match answer {
             StoreResponse::Committed { revision } => {
                 let proof = ReadProof::new(ProofSource::PageCommit, write.covers, revision);
-                self.on_page_committed(context, write.number, &proof);
+                self.on_page_committed(context, cluster, write.number, &proof);
             }
             StoreResponse::Conflict { failed, .. } => self.on_page_conflict(context, &write, &failed),
             StoreResponse::Malformed => self.on_page_rejected(context, write.number),
--- a/src/coordination/api/answers.rs
+++ b/src/coordination/api/answers.rs
@@ -7,6 +7,8 @@
 use super::super::store_queue::Urgency;
 use super::super::{ClusterConfig, Context, Continuation};
 use super::acceptance::PageWrite;
+use super::acceptance_status::Novelty;
+use super::answer_log::AnswerContext;
 use super::read_proof::{ProofSource, ReadProof, RequestSequence};
 use super::request::RequestKind;
 use super::{ApiContinuation, ComparedJob, JobApi, PageScan, Refusal};
@@ -201,7 +203,7 @@
         ids: Vec<u64>,
         answer: StoreResponse,
     ) {
-        self.reading_job_changes = false;
+        self.job_changes_reads_in_flight = self.job_changes_reads_in_flight.saturating_sub(1);
         let StoreResponse::Events(events) = answer else {
             self.awaiting_job_changes
                 .extend(ids.into_iter().filter(|id| self.pending.contains_key(id)));
@@ -275,7 +277,7 @@
                 continue;
             }
             let Some(pending) = self.pending.get(&id) else { continue };
-            let phase = self.final_phase(job).or(self.statuses.get(job).map(|k| k.phase));
+            let phase = self.known_phase(job);
             match (&pending.kind, phase) {
                 (RequestKind::Submit(_), None) | (RequestKind::Cancel, Some(_)) => self.advance(context, cluster, id),
                 // The job has not ended. Whether another node has accepted it is read next.
@@ -288,20 +290,27 @@
         }
     }
 
-    /// Advances a request after its job's own key, and then all changes of jobs, were read for it.
-    /// A job that is still unknown was never accepted.
-    fn on_changes_known(&mut self, context: &mut Context, cluster: &ClusterConfig, id: u64, proof: &ReadProof) {
+    /// Advances a request after all changes of jobs were read for it. A submission in a page without
+    /// an answer waits for it. For other requests the job's own key was read before, so that a job
+    /// that is still unknown was never accepted.
+    pub(super) fn on_changes_known(
+        &mut self,
+        context: &mut Context,
+        cluster: &ClusterConfig,
+        id: u64,
+        proof: &ReadProof,
+    ) {
         if let Some(pending) = self.pending.get_mut(&id) {
-            pending.changes_read = true;
+            pending.changes_proof = Some(*proof);
         }
         let Some(pending) = self.pending.get(&id) else { return };
         let job = pending.job.clone();
-        let phase = self.final_phase(&job).or(self.statuses.get(&job).map(|k| k.phase));
-        let repeated = self.statuses.get(&job).is_none_or(|k| k.repeated);
-        if let (true, false, Some(phase)) = (pending.accepted_by_own_page, repeated, phase) {
-            // No page accepted the job before this node's page did, so no user had an answer about
-            // it before this request arrived.
-            return self.answer_if_fresh(context, id, phase, 201, proof);
+        if self.submissions.get(&job).is_some_and(|ids| ids.contains(&id)) {
+            return;
+        }
+        let phase = self.known_phase(&job);
+        if let (Some(Novelty::New), Some(phase)) = (self.novelty(pending), phase) {
+            return self.answer_if_fresh(context, id, phase, Novelty::New.status(), proof);
         }
         match (&pending.kind, phase) {
             // One of the job's dependencies has not been read yet.
@@ -341,9 +350,18 @@
         let Some(pending) = self.pending.remove(&id) else {
             return;
         };
-        if status == 201 {
-            self.waits.record(context.now.since(pending.received_at));
+        let waited = context.now.since(pending.received_at);
+        if pending.own_page.is_some() {
+            self.waits.record(waited);
         }
+        let first_page = self.first_page(&pending.job);
+        let answer_context = AnswerContext {
+            waited,
+            known_revision: self.known_revision,
+            first_page: first_page.and_then(|page| Some((page, self.page_nodes.get(page.node)?.as_str()))),
+        };
+        self.answered
+            .record_submission(&pending, status, proof, &answer_context);
         self.answer(context, id, &pending.job, phase, status, proof);
     }
 
@@ -353,21 +371,24 @@
         if !proof.covers(pending.sequence) {
             return self.request_fresh_proof(id);
         }
-        let ReadProof { source, revision, .. } = proof;
-        let (status, why) = (refusal.status(), refusal.to_string());
-        tracing::debug!(job = pending.job, status, why, ?source, revision, "refused a request");
+        let answer_context = AnswerContext {
+            waited: context.now.since(pending.received_at),
+            known_revision: self.known_revision,
+            first_page: None,
+        };
+        self.answered.record_refusal(pending, refusal, proof, &answer_context);
         self.pending.remove(&id);
         refusal.send(context, id);
     }
 
     /// Queues another compare of the job's own key, because the proof is older than the request.
-    fn request_fresh_proof(&mut self, id: u64) {
+    pub(super) fn request_fresh_proof(&mut self, id: u64) {
         let Some(pending) = self.pending.get(&id) else { return };
         tracing::debug!(
             job = pending.job,
             "the proof is older than the request; comparing the job's key again"
         );
-        self.stale_proofs += 1;
+        self.answered.asked_anew += 1;
         self.awaiting_compare.entry(pending.job.clone()).or_default().push(id);
     }
 
@@ -383,7 +404,7 @@
     ) {
         let ReadProof { source, revision, .. } = proof;
         tracing::debug!(job, status, ?phase, ?source, revision, "answered a request");
-        *self.answers_by_source.entry(*source).or_default() += 1;
+        self.answered.count(*source);
         let (done, running) = self.counts.get(job).copied().unwrap_or((0, 0));
         let state = JobState {
             id: job.to_string(),
--- a/src/coordination/api/dependencies.rs
+++ b/src/coordination/api/dependencies.rs
@@ -42,6 +42,11 @@
         })
     }
 
+    /// Returns the phase of a job as far as it is known here, in doubt its final phase.
+    pub(super) fn known_phase(&self, job: &str) -> Option<Phase> {
+        self.final_phase(job).or(self.statuses.get(job).map(|k| k.phase))
+    }
+
     /// Returns whether a job waits for its dependencies, and so may be cancelled with one of them.
     pub(super) fn waits_for_dependencies(&self, job: &str) -> bool {
         matches!(
@@ -104,7 +109,7 @@
             // All unknown dependencies had no key of their own. If a read of all changes that was
             // sent after the request had arrived shows no page with them either, they were never
             // accepted.
-            pending.changes_read.then_some(Refusal::DependsOnUnknownJob)
+            pending.changes_proof.map(|_| Refusal::DependsOnUnknownJob)
         } else {
             for dependency in spec.dependencies.iter().filter(is_unknown) {
                 if !pending.missing_dependencies.contains(dependency) {
--- a/src/coordination/api/mod.rs
+++ b/src/coordination/api/mod.rs
@@ -14,6 +14,8 @@
 //! - `request_flow`: the steps of a request until its answer;
 //! - `status`: the known phases of jobs;
 //! - `acceptance`: the pages of acceptances;
+//! - `acceptance_status`: whether an accepted job was new, status 201, or known already, status 200;
+//! - `answer_log`: what is logged about answers;
 //! - `answers`: the answers of the state service, and the user requests that they answer or
 //!   advance;
 //! - `dependencies`: jobs with dependencies;
@@ -21,6 +23,8 @@
 //! - `read_proof`: whether an answer is based on a read that is new enough.
 
 mod acceptance;
+mod acceptance_status;
+mod answer_log;
 mod answers;
 mod cancellations;
 mod dependencies;
@@ -30,6 +34,7 @@
 mod request_flow;
 mod status;
 
+pub use answer_log::{AnswerSummary, SubmissionAnswers};
 pub use dependencies::DependentJob;
 pub use read_proof::{ProofSource, RequestSequence};
 pub use refusal::Refusal;
@@ -89,7 +94,7 @@
     ReadOwnPage(u32),
     /// A part of the scan of all pages of acceptances, with the number of the scan.
     ScanPages(u64),
-    /// A read of all changes of jobs, for requests about jobs that are not known here.
+    /// A read of all changes of jobs, for requests about jobs that other nodes may have accepted.
     ReadJobChanges {
         /// The last request that the answer may decide.
         covers: RequestSequence,
@@ -117,6 +122,8 @@
 const MAX_BACKLOG: usize = 400;
 /// Pause between two compares, and between two reads of changes, so that user requests are batched.
 const BATCH_DELAY: Micros = Micros::from_millis(100);
+/// The maximum number of reads of changes in flight: one for each page that may be in flight.
+const MAX_JOB_CHANGES_READS: usize = 3;
 /// The maximum number of compares in flight: more than one, so that a slow one doesn't delay the
 /// next.
 const MAX_COMPARES: usize = 2;
@@ -156,9 +163,12 @@
     /// User requests that wait for a read of all changes of jobs, because another node may just
     /// have accepted or cancelled their jobs.
     awaiting_job_changes: Vec<u64>,
-    /// Whether a read of all changes of jobs is in flight.
-    reading_job_changes: bool,
+    job_changes_reads_in_flight: usize,
     next_job_changes_at: Micros,
+    /// Whether a page was written whose submissions wait for a read of all changes of jobs.
+    page_needs_changes: bool,
+    /// The revision up to which the watch has shown all changes of jobs.
+    known_revision: u64,
     statuses: BTreeMap<String, JobStatus>,
     /// The jobs with a status, in the order in which their statuses may be dropped.
     status_order: VecDeque<String>,
@@ -191,11 +201,10 @@
     refusals: BTreeMap<Refusal, u32>,
     /// The waiting times of submissions accepted since the last summary in the log.
     waits: WaitHistogram,
-    /// The number of answers since the last summary in the log, by the source of their proof.
-    answers_by_source: BTreeMap<ProofSource, u32>,
-    /// The number of user requests since the last summary in the log that had arrived after the
-    /// read that was to decide them had been sent.
-    stale_proofs: u32,
+    /// The answers since the last summary in the log.
+    answered: AnswerSummary,
+    /// The nodes whose pages were read; the first page of a job names its node by index.
+    page_nodes: Vec<String>,
 }
 
 impl JobApi {
@@ -209,8 +218,10 @@
             group_commit: GroupCommit::new(),
             submissions: BTreeMap::new(),
             awaiting_job_changes: vec![],
-            reading_job_changes: false,
+            job_changes_reads_in_flight: 0,
             next_job_changes_at: Micros::ZERO,
+            page_needs_changes: false,
+            known_revision: 0,
             statuses: BTreeMap::new(),
             status_order: VecDeque::new(),
             dependency_graph: DependencyGraph::new(),
@@ -228,8 +239,8 @@
             refused_since: None,
             refusals: BTreeMap::new(),
             waits: WaitHistogram::default(),
-            answers_by_source: BTreeMap::new(),
-            stale_proofs: 0,
+            answered: AnswerSummary::default(),
+            page_nodes: vec![],
         }
     }
 
@@ -249,12 +260,14 @@
     /// that are due. `seen` is the revision up to which all changes of jobs are known here; with
     /// `None` nothing is sent.
     pub fn tick(&mut self, context: &mut Context, cluster: &ClusterConfig, seen: Option<u64>) {
+        self.answer_without_novelty(context);
         self.refuse_timed_out(context);
         let Some(seen) = seen else { return };
+        self.known_revision = seen;
         self.scan_pages(context);
         self.write_pages(context, cluster);
         self.read_unknown_dependencies(context);
-        self.read_job_changes(context, seen);
+        self.read_job_changes(context);
         self.compare_keys(context, cluster);
     }
 
@@ -276,19 +289,23 @@
             .push(Urgency::Leadership, request, continuation, SCAN_TIMEOUT);
     }
 
-    /// Reads all changes of jobs after the revision `seen` for the user requests that wait for
-    /// them.
-    fn read_job_changes(&mut self, context: &mut Context, seen: u64) {
+    /// Reads all changes of jobs that are not known here for the user requests that wait for them:
+    /// together with each page of this node, and after a pause for other requests.
+    fn read_job_changes(&mut self, context: &mut Context) {
         let now = context.now;
-        let due = !self.awaiting_job_changes.is_empty() && now >= self.next_job_changes_at;
-        if self.reading_job_changes || !due || !self.is_ready() {
+        let is_paused = self.job_changes_reads_in_flight > 0 || now < self.next_job_changes_at;
+        if self.awaiting_job_changes.is_empty() || (is_paused && !self.page_needs_changes) {
+            return;
+        }
+        if self.job_changes_reads_in_flight >= MAX_JOB_CHANGES_READS || !self.is_ready() {
             return;
         }
         self.next_job_changes_at = now + BATCH_DELAY;
-        self.reading_job_changes = true;
+        self.page_needs_changes = false;
+        self.job_changes_reads_in_flight += 1;
         let request = StoreRequest::Watch {
             prefix: keys::JOBS.into(),
-            after: seen,
+            after: self.known_revision,
             wait_ms: 0,
         };
         let continuation = Continuation::Api(ApiContinuation::ReadJobChanges {
@@ -353,13 +370,9 @@
             .collect()
     }
 
-    /// Returns how many requests were answered since the last call, by the source of the proof, and
-    /// how many had arrived after the read that was to decide them had been sent.
-    pub fn take_answer_counts(&mut self) -> (BTreeMap<ProofSource, u32>, u32) {
-        (
-            std::mem::take(&mut self.answers_by_source),
-            std::mem::take(&mut self.stale_proofs),
-        )
+    /// Returns the answers since the last call.
+    pub fn take_answers(&mut self) -> AnswerSummary {
+        std::mem::take(&mut self.answered)
     }
 
     /// Clears the record of failed requests to the state service. Called when requests begin to go
--- a/src/coordination/api/request.rs
+++ b/src/coordination/api/request.rs
@@ -1,7 +1,8 @@
 //! User requests that wait for the state service, and the checks that refuse a submission unless
 //! its job was accepted before.
 
-use super::read_proof::RequestSequence;
+use super::acceptance_status::OwnPage;
+use super::read_proof::{ReadProof, RequestSequence};
 use super::{max_description_bytes, Refusal};
 use crate::coordination::ClusterConfig;
 use crate::protocol::users::{JobSpec, Shape};
@@ -49,16 +50,25 @@
     /// For a submission with dependencies: the dependencies whose own keys were missing when they
     /// were read for it.
     pub missing_dependencies: BTreeSet<String>,
-    /// Whether all changes of jobs were read for this request.
-    pub changes_read: bool,
-    /// Whether a page of this node that was written after the request had arrived accepts its job.
-    /// The request then waits for a read that shows whether an earlier page accepts the job.
-    pub accepted_by_own_page: bool,
+    /// The read of all changes of jobs that was made for this request.
+    pub changes_proof: Option<ReadProof>,
+    /// For a submission: the page of this node that accepts its job. The submission then waits for
+    /// a read that shows whether an earlier page accepts the job.
+    pub own_page: Option<OwnPage>,
+    /// The revision up to which this node knew all changes of jobs when the request arrived.
+    pub known_revision: u64,
 }
 
 impl PendingRequest {
     /// Creates a request that has just arrived.
-    pub(super) fn new(id: u64, job: String, kind: RequestKind, sequence: RequestSequence, now: Micros) -> Self {
+    pub(super) fn new(
+        id: u64,
+        job: String,
+        kind: RequestKind,
+        sequence: RequestSequence,
+        known_revision: u64,
+        now: Micros,
+    ) -> Self {
         PendingRequest {
             id,
             job,
@@ -66,8 +76,9 @@
             received_at: now,
             sequence,
             missing_dependencies: BTreeSet::new(),
-            changes_read: false,
-            accepted_by_own_page: false,
+            changes_proof: None,
+            own_page: None,
+            known_revision,
         }
     }
 }
--- a/src/coordination/api/request_flow.rs
+++ b/src/coordination/api/request_flow.rs
@@ -56,7 +56,7 @@
             return self.refuse_unavailable(context, id, refusal);
         }
         self.last_sequence = self.last_sequence.next();
-        let pending = PendingRequest::new(id, job, kind, self.last_sequence, context.now);
+        let pending = PendingRequest::new(id, job, kind, self.last_sequence, self.known_revision, context.now);
         self.pending.insert(id, pending);
         self.advance(context, cluster, id);
     }
--- a/src/coordination/api/status.rs
+++ b/src/coordination/api/status.rs
@@ -21,11 +21,17 @@
     /// Whether the job is a service, which runs until it is cancelled; false if no description of
     /// the job was read.
     pub service: bool,
-    /// The revision of the first page read here that accepts the job; 0 if none was read.
-    pub page: u64,
-    /// Whether another page accepts the job as well, so that a user may have had an earlier answer
-    /// about it.
-    pub repeated: bool,
+    /// The first of the pages known here that accept the job.
+    pub first_page: Option<FirstPage>,
+}
+
+/// The first page that accepts a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct FirstPage {
+    /// The revision at which the page was written.
+    pub revision: u64,
+    /// The index of the page's node in `JobApi::page_nodes`.
+    pub node: usize,
 }
 
 impl JobApi {
@@ -55,12 +61,14 @@
             phase,
             checked: true,
             service: false,
-            page: 0,
-            repeated: false,
+            first_page: None,
         };
         match self.statuses.get_mut(job) {
             Some(status) if status.version >= version => {}
-            Some(status) => *status = new,
+            Some(status) => {
+                let first_page = status.first_page;
+                *status = JobStatus { first_page, ..new };
+            }
             None => self.insert_status(job.to_string(), new),
         }
         if phase == Phase::Cancelled {
--- a/src/coordination/fault_injection.rs
+++ b/src/coordination/fault_injection.rs
@@ -14,6 +14,8 @@
     SendsInheritedStarts,
     /// Ended attempts are forgotten once the pushes of their starts are answered.
     ForgetsAfterAnswer,
+    /// A job that a page of this node accepts counts as new without a read of the other pages.
+    AcceptsAnew,
 }
 
 /// Whether this fault is active in this process.
@@ -24,6 +26,7 @@
         InjectedFault::ForgetsChargeAtTakeover => "forgets-charge-at-takeover",
         InjectedFault::SendsInheritedStarts => "sends-inherited-starts",
         InjectedFault::ForgetsAfterAnswer => "forgets-after-answer",
+        InjectedFault::AcceptsAnew => "accepts-anew",
     };
     std::env::var("GLENHAVEN_PLANTED").is_ok_and(|planted| planted == name)
 }
--- a/src/coordination/tick.rs
+++ b/src/coordination/tick.rs
@@ -4,6 +4,7 @@
 //! the steps that depend on which controller leads, and the leader's own work runs last.
 
 use super::agents::LeaseRenewer;
+use super::api::{AnswerSummary, SubmissionAnswers};
 use super::election::Role;
 use super::Controller;
 use crate::protocol::peer::PeerMessage;
@@ -100,7 +101,13 @@
             let (open, pages) = self.api.pages();
             tracing::debug!(?waited, open, pages, "accepted");
         }
-        let (answered, asked_anew) = self.api.take_answer_counts();
+        let AnswerSummary {
+            by_source: answered,
+            asked_anew,
+            submissions,
+            refused,
+            ..
+        } = self.api.take_answers();
         if !answered.is_empty() {
             tracing::info!(
                 ?answered,
@@ -108,6 +115,27 @@
                 "answered user requests, by the source of the proof"
             );
         }
+        if submissions != SubmissionAnswers::default() {
+            let SubmissionAnswers {
+                new,
+                known_already,
+                in_later_page,
+                without_read,
+            } = submissions;
+            tracing::info!(
+                new,
+                known_already,
+                in_later_page,
+                without_read,
+                "answered submissions of accepted jobs"
+            );
+        }
+        if !refused.is_empty() {
+            tracing::info!(
+                ?refused,
+                "refused requests for jobs that were never accepted, by status"
+            );
+        }
         let refused = self.api.take_refusals();
         if !refused.is_empty() {
             let (open, pages) = self.api.pages();
--- a/tests/sim/answers.rs
+++ b/tests/sim/answers.rs
@@ -3,6 +3,7 @@
 //! - No start is sent after a confirmed cancellation.
 //! - No job is accepted that can't run or lacks a field.
 //! - No answer is older than one that any controller gave before the request was sent.
+//! - A submission sent after such an answer that its job is accepted is answered 200, never 201.
 //!
 //! Beyond the protocol, no answer is older than its request: an answer may not contradict what
 //! the state service held when the request was sent, whether or not a user had been informed.
@@ -197,12 +198,18 @@
         let stored = self.stored.get(job)?;
         let before = |at: &u64| *at < answer.asked;
         match (answer.status, answer.phase) {
-            (200 | 201, Some(phase)) if !phase.is_final() => {
-                let over = stored.over.filter(before)?;
+            (200 | 201, Some(phase)) if !phase.is_final() && stored.over.is_some_and(|at| before(&at)) => {
+                let over = stored.over?;
                 Some(format!(
                     "stale_answer: {job} was over in the state service since {over}, now {phase:?}"
                 ))
             }
+            (201, _) => {
+                let accepted = stored.accepted.filter(before)?;
+                Some(format!(
+                    "accepted_anew: {job} answered 201, accepted in the state service since {accepted}"
+                ))
+            }
             (400 | 404 | 422, _) => {
                 let accepted = stored.accepted.filter(before)?;
                 let status = answer.status;
@@ -220,6 +227,10 @@
         let stale = self.is_stale(job, answer);
         let reported = self.reported.entry(job.into()).or_default();
         let before = |at: u64| at < answer.asked;
+        let accepted_anew = (answer.status == 201)
+            .then(|| reported.accepted.filter(|at| before(*at)))
+            .flatten()
+            .map(|at| format!("accepted_anew: {job} answered 201, reported as accepted since {at}"));
         let wrong = match (answer.status, answer.phase) {
             (200 | 201, Some(phase)) => {
                 reported.accepted.get_or_insert(answer.left);
@@ -244,6 +255,7 @@
             _ => None,
         };
         wrong
+            .or(accepted_anew)
             .or(stale)
             .map(|why| format!("{why}; asked at {}, answered at {}", answer.asked, answer.left))
     }
@@ -329,6 +341,18 @@
         );
     }
 
+    #[test]
+    fn a_repeated_submission_accepted_anew_is_reported() {
+        let mut a = answers();
+        assert!(!contradicts(&mut a, 1, 10, 201, Some(Phase::Pending)));
+        assert!(
+            !contradicts(&mut a, 9, 14, 201, Some(Phase::Pending)),
+            "sent before the first answer"
+        );
+        assert!(!contradicts(&mut a, 11, 14, 200, Some(Phase::Pending)));
+        assert!(contradicts(&mut a, 11, 14, 201, Some(Phase::Pending)));
+    }
+
     #[test]
     fn an_answer_older_than_its_request_is_reported() {
         let mut a = answers();
@@ -350,13 +374,18 @@
             "accepted, though no user had been informed"
         );
         assert!(contradicts(&mut a, 6, 9, 422, None));
+        assert!(
+            !contradicts(&mut a, 4, 9, 201, Some(Phase::Pending)),
+            "sent before the page was written"
+        );
+        assert!(contradicts(&mut a, 6, 9, 201, Some(Phase::Pending)));
         let over = JobValue {
             phase: Phase::Cancelled,
             spec: None,
         };
         a.written(&[put(keys::job(JOB), to_value(&over))], 10);
         assert!(
-            !contradicts(&mut a, 9, 14, 201, Some(Phase::Pending)),
+            !contradicts(&mut a, 9, 14, 200, Some(Phase::Pending)),
             "asked before the end"
         );
         assert!(
--- a/tests/sim/close_queries.rs
+++ b/tests/sim/close_queries.rs
@@ -11,7 +11,7 @@
 use glenhaven::protocol::users::{JobSpec, JobState, Shape};
 use glenhaven::protocol::{from_cbor, to_cbor};
 use glenhaven::transport::server::HttpResponse;
-use glenhaven_fakes::user::job_of;
+use glenhaven_fakes::user::{job_of, with_unknown_field};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Delays after a change of a job, in microseconds, at which all controllers are queried about it.
@@ -32,6 +32,8 @@
     sent: u64,
     /// The submission that must be refused, if the request is about one.
     invalid: Option<Vec<u8>>,
+    /// The controller at which the job is submitted again as soon as this request is answered.
+    resubmit_at: Option<usize>,
 }
 
 /// The additional requests that are switched on, keyed by the index of the script's step that
@@ -40,6 +42,9 @@
 pub(crate) struct CloseQueries {
     /// Each change of a job is followed by queries to all controllers.
     pub query_all_on_change: BTreeSet<usize>,
+    /// Each job that its user has just submitted is polled at a second controller and then
+    /// submitted again at a third, each as soon as the request before is answered.
+    pub resubmit_after_poll: BTreeSet<usize>,
     /// Share of the jobs that are cancelled as their last task completes.
     pub cancel_at_end: BTreeMap<usize, f64>,
     /// Invalid and repeated requests are sent regularly.
@@ -54,8 +59,16 @@
         self.pending.get(&query).map(|query| query.job.as_str())
     }
 
+    /// Returns whether an unanswered request is a submission.
+    pub(crate) fn is_submission(&self, query: u64) -> bool {
+        self.pending
+            .get(&query)
+            .is_some_and(|query| query.asked == RequestKind::Submit)
+    }
+
     pub(crate) fn end_faults(&mut self, step: usize) {
         self.query_all_on_change.remove(&step);
+        self.resubmit_after_poll.remove(&step);
         self.cancel_at_end.remove(&step);
         self.odd_requests.remove(&step);
     }
@@ -75,16 +88,30 @@
         let Some(user) = self.users.get_mut(job) else { return };
         user.wants_abort |= asked == RequestKind::Abort;
         let body = to_cbor(&user.spec);
-        self.send(
-            n,
-            Query {
-                job: job.into(),
-                asked,
-                sent: self.now,
-                invalid: None,
-            },
-            body,
-        );
+        let query = self.query(job, asked, None);
+        self.send(n, query, body);
+    }
+
+    /// Polls a job that controller `first` has just accepted at a second controller, and submits it
+    /// again at a third one after that, if that is switched on.
+    pub(crate) fn poll_then_resubmit(&mut self, job: &str, first: Option<usize>) {
+        if self.close_queries.resubmit_after_poll.is_empty() {
+            return;
+        }
+        let mut others: Vec<usize> = (0..self.nodes.len()).filter(|n| Some(*n) != first).collect();
+        self.rng.shuffle(&mut others);
+        let Some(second) = others.first().copied() else { return };
+        let mut query = self.query(job, RequestKind::Poll, None);
+        query.resubmit_at = Some(others.get(1).copied().or(first).unwrap_or(second));
+        self.send(second, query, vec![]);
+    }
+
+    /// Submits a job again, with a field that the protocol does not name.
+    fn resubmit(&mut self, job: &str, n: usize) {
+        let Some(user) = self.users.get(job) else { return };
+        let body = with_unknown_field(&to_cbor(&user.spec));
+        let query = self.query(job, RequestKind::Submit, None);
+        self.send(n, query, body);
     }
 
     fn send(&mut self, n: usize, query: Query, body: Vec<u8>) {
@@ -112,6 +139,9 @@
         }
         let Some(body) = &query.invalid else {
             self.record_job_answer(&query.job, query.asked, query.sent, left, answer);
+            if let Some(n) = query.resubmit_at {
+                self.resubmit(&query.job, n);
+            }
             return;
         };
         let is_known = from_cbor::<JobState>(&answer.body).is_ok();
@@ -239,6 +269,7 @@
             asked,
             sent: self.now,
             invalid,
+            resubmit_at: None,
         }
     }
 
--- a/tests/sim/fault_combinations.rs
+++ b/tests/sim/fault_combinations.rs
@@ -96,13 +96,22 @@
         writeln!(t, "at {line}").unwrap();
     }
     match seed % 8 {
+        1 => add_late_log_writes(&mut t, first),
         3 => writeln!(t, "at {first:.2} {}", one_way_faults::COPIED_COMMANDS).unwrap(),
+        5 => writeln!(t, "at 20 resubmit-after-poll for 200").unwrap(),
         7 => add_slow_replies(&mut t, first, &mut fastrand::Rng::with_seed(seed)),
         _ => {}
     }
     t
 }
 
+/// Adds late writes of the log while leaders end, so that some reach the state service under the
+/// next leader.
+fn add_late_log_writes(t: &mut String, first: f64) {
+    writeln!(t, "at {first:.2} late-writes 0.3 key=open/ for 30").unwrap();
+    writeln!(t, "at {:.2} crash leader for 0.2 every=6 times=4", first + 4.0).unwrap();
+}
+
 /// Adds slow replies while users query all controllers. The random numbers come from a generator of
 /// their own, so that the seed's other draws do not change.
 fn add_slow_replies(t: &mut String, first: f64, rng: &mut fastrand::Rng) {
--- a/tests/sim/fault_injection.rs
+++ b/tests/sim/fault_injection.rs
@@ -55,10 +55,12 @@
     /// Attempts that have ended are forgotten when the pushes of their starts must have been
     /// answered.
     ForgetsAfterAnswer,
+    /// A submission that is repeated at another controller is answered as if its job were new.
+    AcceptsAnew,
 }
 
 /// All injected faults.
-pub(crate) const ALL: [Fault; 18] = [
+pub(crate) const ALL: [Fault; 19] = [
     Fault::RenewsUnproven,
     Fault::OneVouchesForAll,
     Fault::StopsNothing,
@@ -77,6 +79,7 @@
     Fault::KeepsStarts,
     Fault::JoinsSubmissions,
     Fault::ForgetsAfterAnswer,
+    Fault::AcceptsAnew,
 ];
 
 /// Time for which [`Fault::AnswersFromCache`] repeats an answer, in microseconds.
@@ -218,6 +221,9 @@
             };
             (answer.status, answer.body) = (201, to_cbor(&state));
         }
+        if fault == Fault::AcceptsAnew && answer.status == 200 && self.close_queries.is_submission(number) {
+            answer.status = 201;
+        }
         if fault == Fault::AnswersFromCache {
             let now = self.now;
             let cached = self.cached_answers.entry((n, job));
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -98,6 +98,8 @@
     pub state_out: BTreeSet<usize>,
     /// Controllers whose requests the state service refuses and whose watches it holds back.
     pub state_refuses: BTreeMap<usize, usize>,
+    /// Controllers whose next watch on this prefix is answered 410.
+    pub compacted_watches: Vec<(usize, String)>,
     pub cloud_out: BTreeSet<usize>,
     /// Machines that no controller can reach. Commands to them are held back, and so are their
     /// heartbeats if the script has `held-packets`.
--- a/tests/sim/one_way_faults.rs
+++ b/tests/sim/one_way_faults.rs
@@ -52,7 +52,8 @@
     /// This share of the transactions that write a key with this prefix is executed at once, and
     /// only the reply is lost.
     LoseWriteReplies(f64, String),
-    /// This share of the replies to reads of one key with this prefix is lost.
+    /// This share of the replies to reads of one key with this prefix, or of all changes of keys
+    /// with it, is lost.
     LoseReadReplies(f64, String),
     /// Copies of this share of the heartbeats are kept, and reach every controller when the next
     /// leader begins to lead.
@@ -281,7 +282,12 @@
             StoreRequest::Transaction(Transaction { changes, .. }) => largest_share(&faults.lost_replies, |prefix| {
                 changes.iter().any(|change| change.key().starts_with(prefix))
             }),
-            StoreRequest::Get { key } => largest_share(&faults.lost_read_replies, |prefix| key.starts_with(prefix)),
+            StoreRequest::Get { key: read }
+            | StoreRequest::Watch {
+                prefix: read,
+                wait_ms: 0,
+                ..
+            } => largest_share(&faults.lost_read_replies, |prefix| read.starts_with(prefix)),
             _ => 0.0,
         };
         self.draw(share)
@@ -297,7 +303,7 @@
             .copied()
             .max()
             .unwrap_or(0);
-        if slow == 0 || matches!(request, StoreRequest::Watch { .. }) {
+        if slow == 0 || matches!(request, StoreRequest::Watch { wait_ms: 1.., .. }) {
             return 0;
         }
         self.rng.u64(0..=slow)
--- a/tests/sim/script.rs
+++ b/tests/sim/script.rs
@@ -92,6 +92,11 @@
     /// Users query all controllers at once, repeatedly, when a job is accepted, ends or is
     /// cancelled.
     QueryAllNodes,
+    /// The next watch of this controller on keys with this prefix is answered 410.
+    CompactedWatch(usize, String),
+    /// Users poll a job that was just accepted at a second controller and then submit it again at a
+    /// third.
+    ResubmitAfterPoll,
     OneWayFault(OneWayFault),
 }
 
@@ -437,6 +442,8 @@
                     }
                     "odd-requests" => Action::OddRequests,
                     "query-all-nodes" => Action::QueryAllNodes,
+                    "compacted-watch" => Action::CompactedWatch(count()?, w.word(4)?.into()),
+                    "resubmit-after-poll" => Action::ResubmitAfterPoll,
                     "query-rate" => Action::QueryRate(w.word(3)?.parse().map_err(|_| "the factor is not a number")?),
                     _ => Action::OneWayFault(OneWayFault::parse(&w)?),
                 };
--- a/tests/sim/state_service.rs
+++ b/tests/sim/state_service.rs
@@ -34,6 +34,20 @@
         self.active_faults.state_refuses.values().any(|d| *d == n)
     }
 
+    /// Returns whether the state service no longer has the changes that this watch asks for, because
+    /// a step of the scenario says so for one watch of this controller.
+    fn takes_compaction(&mut self, n: usize, request: &StoreRequest) -> bool {
+        let StoreRequest::Watch {
+            prefix, wait_ms: 1.., ..
+        } = request
+        else {
+            return false;
+        };
+        let watches = &mut self.active_faults.compacted_watches;
+        let found = watches.iter().position(|watch| *watch == (n, prefix.clone()));
+        found.map(|at| watches.remove(at)).is_some()
+    }
+
     pub(crate) fn store_request(&mut self, n: usize, life: u64, id: u64, request: StoreRequest) {
         let now = self.now;
         self.store.expire(now);
@@ -54,7 +68,14 @@
             };
             if let Err(refused) = self.store.allow(writes, now) {
                 refused
-            } else if let StoreRequest::Watch { prefix, after, wait_ms } = request {
+            } else if self.takes_compaction(n, &request) {
+                StoreResponse::Compacted
+            } else if let StoreRequest::Watch {
+                prefix,
+                after,
+                wait_ms: wait_ms @ 1..,
+            } = request
+            {
                 let watch = self.id();
                 self.watches.insert(
                     watch,
@@ -153,7 +174,7 @@
         let Some(w) = self.watches.remove(&watch) else {
             return;
         };
-        let answer = StoreResponse::Events(self.store.events_since(&w.prefix, w.after));
+        let answer = self.store.changes_or_compacted(&w.prefix, w.after);
         let hop = self.hop();
         if self.passes(&End::State, &End::Node(w.node)) {
             self.after(
--- a/tests/sim/steps.rs
+++ b/tests/sim/steps.rs
@@ -71,6 +71,7 @@
                 let n = if n == usize::MAX { self.leader().unwrap_or(0) } else { n };
                 self.active_faults.state_refuses.insert(i, n);
             }
+            Action::CompactedWatch(n, prefix) => self.active_faults.compacted_watches.push((n, prefix)),
             Action::CloudOut => {
                 self.active_faults.cloud_out.insert(i);
             }
@@ -182,6 +183,9 @@
             Action::QueryAllNodes => {
                 self.close_queries.query_all_on_change.insert(i);
             }
+            Action::ResubmitAfterPoll => {
+                self.close_queries.resubmit_after_poll.insert(i);
+            }
             Action::OddRequests => {
                 self.close_queries.odd_requests.insert(i);
                 self.odd_requests(i);
--- a/tests/sim/users.rs
+++ b/tests/sim/users.rs
@@ -132,12 +132,14 @@
             return true;
         };
         let accepted = user.accepted.is_none();
+        let node = user.node;
         let cancelled = state.phase == Phase::Cancelled && user.cancelled.is_none();
         user.record_answer(now, left, state.phase);
         if cancelled {
             self.query_all_nodes(job, JobChange::Cancelled);
         } else if accepted {
             self.query_all_nodes(job, JobChange::Accepted);
+            self.poll_then_resubmit(job, node);
         }
         true
     }
