--- a/review/standins-2/src/case4.rs
+++ b/review/standins-2/src/case4.rs
@@ -18,9 +18,9 @@
     let note = |line: &str| cluster.world.record.note(line);
     note(&format!("worker-{leader} leads"));
     let service = Submission {
-        id: "run-000001",
+        id: "run-000001".into(),
         class: "catalogue",
-        team: site.team,
+        team: site.teams[0].0,
         standing: true,
         rank: "production",
         pieces: 1,
@@ -29,7 +29,7 @@
         run_s: 0.0,
     };
     let scan = Submission {
-        id: "run-000002",
+        id: "run-000002".into(),
         class: "cover-scan",
         standing: false,
         rank: "standard",
@@ -37,7 +37,7 @@
         run_s: 60.0,
         ..service.clone()
     };
-    if !cluster.submit(leader, &service) || !wait_for(30.0, || cluster.runs(service.id)) {
+    if !cluster.submit(leader, &service) || !wait_for(30.0, || cluster.runs(&service.id)) {
         cluster.cannot_run("the service doesn't run");
     }
     let machines = cluster.cloud.machines();
@@ -53,7 +53,7 @@
     if !cluster.submit(leader, &scan) {
         cluster.cannot_run("the job isn't accepted");
     }
-    let is_sent = || machine.held_commands().iter().any(|c| c.contains("run-000002")) || cluster.runs(scan.id);
+    let is_sent = || machine.held_commands().iter().any(|c| c.contains("run-000002")) || cluster.runs(&scan.id);
     if !wait_for(3.0, is_sent) {
         cluster.cannot_run("the start isn't sent directly");
     }
@@ -92,8 +92,8 @@
     }
     let mut broken = cluster
         .world
-        .on_machine_after(scan.id, told_at, told_at + site.cancel_s);
-    let (status, phase) = cluster.poll(leader, scan.id);
+        .on_machine_after(&scan.id, told_at, told_at + site.cancel_s);
+    let (status, phase) = cluster.poll(leader, &scan.id);
     if status == 200 && phase != "withdrawn" {
         broken.push(format!("went_back: the job is called {phase}"));
     }
--- a/review/standins-2/src/cluster.rs
+++ b/review/standins-2/src/cluster.rs
@@ -27,9 +27,9 @@
     pub cpu: f64,
     pub mem_mb: f64,
     pub sockets: u32,
-    pub team: &'static str,
-    pub cpus: f64,
-    pub cpus_max: f64,
+    pub clock_off_ms: f64,
+    /// The teams, each with the cores that it is guaranteed and its limit; 0 means none.
+    pub teams: Vec<(&'static str, f64, f64)>,
     pub flavors: Vec<Flavor>,
 }
 
@@ -53,9 +53,8 @@
             cpu: 0.16,
             mem_mb: 72.0,
             sockets: 700,
-            team: "voluntarios-1",
-            cpus: 88.0,
-            cpus_max: 232.0,
+            clock_off_ms: 1000.0,
+            teams: vec![("voluntarios-1", 88.0, 232.0), ("voluntarios-2", 88.0, 232.0)],
             flavors: vec![Flavor {
                 label: "estante",
                 cores: 16.0,
@@ -69,6 +68,45 @@
     }
 }
 
+impl Site {
+    /// The first deployment of the users' brief.
+    pub fn brunnmatt_charts() -> Site {
+        let flavor = |label, cores, mem_gb, price, market_price, boot_s| Flavor {
+            label,
+            cores,
+            mem_gb,
+            price,
+            market_price,
+            boot_s,
+            yards: vec!["bern-hall", "basel-vault"],
+        };
+        Site {
+            zones: vec!["basel-vault", "bern-hall"],
+            nodes: vec!["bern-hall", "basel-vault", "bern-hall"],
+            report_s: 3.0,
+            lease_s: 36.0,
+            cancel_s: 56.0,
+            limits: Limits {
+                rps: 200.0,
+                write_rps: 50.0,
+                value_kb: 8.0,
+                txn_ops: 24,
+            },
+            cloud_rps: 8.0,
+            list_lag_s: 5.0,
+            cpu: 0.24,
+            mem_mb: 104.0,
+            sockets: 3500,
+            clock_off_ms: 250.0,
+            teams: vec![("hydro", 0.0, 0.0), ("alpsee", 0.0, 0.0), ("nordkap", 0.0, 0.0)],
+            flavors: vec![
+                flavor("deck", 16.0, 128.0, 1.05, 0.43, 30.0),
+                flavor("hull", 64.0, 512.0, 4.2, 1.7, 25.0),
+            ],
+        }
+    }
+}
+
 struct Node {
     config: PathBuf,
     log: PathBuf,
@@ -200,27 +238,6 @@
         }
     }
 
-    /// Stops a controller's process, or lets it go on.
-    pub fn pause_node(&self, n: usize, on: bool) {
-        if let Some(child) = &self.nodes[n].child {
-            let signal = if on { "-STOP" } else { "-CONT" };
-            Command::new("kill")
-                .arg(signal)
-                .arg(child.id().to_string())
-                .status()
-                .ok();
-            self.world
-                .record
-                .note(&format!("worker-{n} {}", if on { "is stopped" } else { "goes on" }));
-        }
-    }
-
-    /// Whether a controller's process has ended by itself.
-    pub fn has_ended(&mut self, n: usize) -> bool {
-        let child = self.nodes[n].child.as_mut();
-        child.is_some_and(|c| c.try_wait().is_ok_and(|status| status.is_some()))
-    }
-
     /// Returns the number of the leader, which the state service sees in the key that it writes.
     pub fn leader(&self) -> Option<usize> {
         let term = self.state.value("term")?;
@@ -294,7 +311,7 @@
 
     /// Registers a job and submits it until it is accepted, for up to 60 s.
     pub fn submit(&self, node: usize, spec: &Submission) -> bool {
-        self.world.jobs.lock().unwrap().insert(spec.id.into(), spec.job());
+        self.world.jobs.lock().unwrap().insert(spec.id.clone(), spec.job());
         let body = spec.body();
         let mut at = node;
         wait_for(60.0, || {
@@ -313,6 +330,29 @@
         self.request(node, "GET", &format!("/v2/runs/{job}"), None, 2.0)
     }
 
+    /// Submits `count` jobs like `spec` over a number of seconds, and returns their ids, which are numbered
+    /// from `first` on.
+    pub fn submit_over(&self, s: f64, node: usize, first: usize, count: usize, spec: &Submission) -> Vec<String> {
+        let began = self.world.record.now();
+        let ids: Vec<String> = (first..first + count).map(|n| format!("run-{n:06}")).collect();
+        for (n, id) in ids.iter().enumerate() {
+            let job = Submission {
+                id: id.clone(),
+                ..spec.clone()
+            };
+            if !self.submit((node + n) % self.names.len(), &job) {
+                self.cannot_run("a job isn't accepted");
+            }
+            sleep(began + s * (n + 1) as f64 / count as f64 - self.world.record.now());
+        }
+        ids
+    }
+
+    /// Whether a worker has accepted a start of one of the job's tasks.
+    pub fn was_placed(&self, job: &str) -> bool {
+        self.world.events_of(job).iter().any(|e| e.what == "is told to run")
+    }
+
     /// Whether a task of the job is on a machine.
     pub fn runs(&self, job: &str) -> bool {
         let prefix = format!("{job}/");
@@ -326,7 +366,7 @@
 /// A job to be submitted.
 #[derive(Clone)]
 pub struct Submission {
-    pub id: &'static str,
+    pub id: String,
     pub class: &'static str,
     pub team: &'static str,
     pub standing: bool,
@@ -350,7 +390,7 @@
     /// The body of the submission.
     pub fn body(&self) -> Value {
         map(vec![
-            ("ref", text(self.id)),
+            ("ref", text(&self.id)),
             ("jobclass", text(self.class)),
             ("owner", text(self.team)),
             ("shape", text(if self.standing { "standing" } else { "array" })),
@@ -393,14 +433,16 @@
     } = site.limits;
     out += &format!("[services]\ncloud = \"{}\"\nstate = \"{}\"\n", services.0, services.1);
     out += &format!(
-        "[params]\nsize = {}\nzones = {:?}\nclock_off_ms = 1000.0\n",
+        "[params]\nsize = {}\nzones = {:?}\nclock_off_ms = {:?}\n",
         site.nodes.len(),
-        site.zones
-    );
-    let (team, cpus, most) = (site.team, site.cpus, site.cpus_max);
-    out += &format!(
-        "[[params.teams]]\nname = \"{team}\"\ncpus = {cpus:?}\ncpus_max = {most:?}\ngpus = 0.0\ngpus_max = 0.0\n"
+        site.zones,
+        site.clock_off_ms
     );
+    for (team, cpus, most) in &site.teams {
+        out += &format!(
+            "[[params.teams]]\nname = \"{team}\"\ncpus = {cpus:?}\ncpus_max = {most:?}\ngpus = 0.0\ngpus_max = 0.0\n"
+        );
+    }
     let (report, lease, cancel) = (site.report_s, site.lease_s, site.cancel_s);
     out += &format!("[params.workers]\nreport_s = {report:?}\nlease_s = {lease:?}\ngang_wait_s = 35.0\ngang_peer_s = 8.0\ncancel_s = {cancel:?}\n");
     out += &format!(
--- a/review/standins-2/src/machine.rs
+++ b/review/standins-2/src/machine.rs
@@ -1,9 +1,7 @@
 //! Machines with their workers.
 
 use crate::http::{serve, Client, Reply, Request};
-use crate::util::{
-    field, int, int_field, json_size, list_field, map, num_field, sleep, text, text_field, Random, Record,
-};
+use crate::util::{field, int, int_field, list_field, map, num_field, sleep, text, text_field, Random, Record};
 use ciborium::Value;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -100,6 +98,7 @@
     tasks: BTreeMap<(String, u64), Task>,
     /// Whether the machine has the image, which is the same for all jobs here.
     has_image: bool,
+    is_up: bool,
     lease_start: Instant,
     node: usize,
     gone: bool,
@@ -108,7 +107,6 @@
     /// since when.
     held: Option<(usize, Instant)>,
     held_commands: Vec<String>,
-    last_body: usize,
 }
 
 /// A machine and its worker.
@@ -141,13 +139,13 @@
                 fence: 0,
                 tasks: BTreeMap::new(),
                 has_image: false,
+                is_up: false,
                 lease_start: Instant::now(),
                 node: *world.first_node.lock().unwrap(),
                 gone: false,
                 changed: false,
                 held: None,
                 held_commands: vec![],
-                last_body: 0,
             }),
             address: Mutex::new(None),
         });
@@ -159,7 +157,9 @@
 
     /// Begins the worker after the boot.
     pub fn begin(self: &Arc<Machine>) {
-        self.inner.lock().unwrap().lease_start = Instant::now();
+        let mut inner = self.inner.lock().unwrap();
+        (inner.lease_start, inner.is_up) = (Instant::now(), true);
+        drop(inner);
         let (ticking, reporting) = (self.clone(), self.clone());
         std::thread::spawn(move || ticking.run_tasks());
         std::thread::spawn(move || reporting.send_reports());
@@ -178,8 +178,10 @@
         self.end_all(tasks, "gone with its machine:");
     }
 
-    pub fn is_gone(&self) -> bool {
-        self.inner.lock().unwrap().gone
+    /// Whether the machine has booted and is still there.
+    pub fn is_up(&self) -> bool {
+        let inner = self.inner.lock().unwrap();
+        inner.is_up && !inner.gone
     }
 
     /// The controller that the worker reports to.
@@ -187,6 +189,15 @@
         self.inner.lock().unwrap().node
     }
 
+    /// Returns the cores and the memory that no task takes, fetching ones included.
+    pub fn free(&self) -> (f64, f64) {
+        let inner = self.inner.lock().unwrap();
+        let jobs = self.world.jobs.lock().unwrap();
+        let live = inner.tasks.iter().filter(|(_, t)| t.phase != "ended");
+        let taken = live.filter_map(|((piece, _), _)| jobs.get(piece.split('/').next().unwrap_or("")));
+        taken.fold((self.cores, self.mem_gb), |(c, m), j| (c - j.cores, m - j.mem_gb))
+    }
+
     /// Returns the tasks that are on the machine: those that have their image and have not exited.
     pub fn on_machine(&self) -> Vec<String> {
         let inner = self.inner.lock().unwrap();
@@ -197,11 +208,6 @@
         on.map(|((piece, _), _)| piece.clone()).collect()
     }
 
-    /// The size of the last report as JSON.
-    pub fn last_report_size(&self) -> usize {
-        self.inner.lock().unwrap().last_body
-    }
-
     /// Interrupts the network between this machine and a controller: packets are held back. Or ends
     /// this: held packets are delivered.
     pub fn hold(&self, node: Option<usize>) {
@@ -220,7 +226,7 @@
             entries.extend(t.cause.map(|c| ("cause", text(c))));
             map(entries)
         };
-        let report = map(vec![
+        map(vec![
             ("host", text(&self.name)),
             ("addr", text(&self.address())),
             ("flavor", text(&self.flavor)),
@@ -231,9 +237,7 @@
             ("fence", int(inner.fence)),
             ("warning_s", Value::Null),
             ("pieces", Value::Array(inner.tasks.iter().map(piece).collect())),
-        ]);
-        inner.last_body = json_size(&report);
-        report
+        ])
     }
 
     /// Serves `/do` and `/status`.
