--- a/review/standins-2/src/case4.rs
+++ b/review/standins-2/src/case4.rs
@@ -27,6 +27,7 @@
         cores: 2.0,
         mem_gb: 6.7,
         run_s: 0.0,
+        reclaimable: false,
     };
     let scan = Submission {
         id: "run-000002".into(),
--- a/review/standins-2/src/case6.rs
+++ b/review/standins-2/src/case6.rs
@@ -28,6 +28,7 @@
         cores: 1.0,
         mem_gb: 5.0,
         run_s: 0.0,
+        reclaimable: false,
     };
     let count = if trouble { SERVICES * FACTOR } else { SERVICES };
     let ids = cluster.submit_over(BURST_S, leader, 100, count, &service);
--- a/review/standins-2/src/case7.rs
+++ b/review/standins-2/src/case7.rs
@@ -30,6 +30,7 @@
         cores: 1.0,
         mem_gb: 5.0,
         run_s: 0.0,
+        reclaimable: false,
     };
     if !cluster.submit(leader, &service) || !wait_for(15.0, || cluster.runs(&service.id)) {
         cluster.cannot_run("the service doesn't run");
--- a/review/standins-2/src/cluster.rs
+++ b/review/standins-2/src/cluster.rs
@@ -228,16 +228,6 @@
         self.world.record.note(&format!("worker-{n} is started"));
     }
 
-    /// Kills a controller.
-    pub fn kill_node(&mut self, n: usize) {
-        if let Some(mut child) = self.nodes[n].child.take() {
-            child.kill().ok();
-            child.wait().ok();
-            RUNNING.lock().unwrap().retain(|id| *id != child.id());
-            self.world.record.note(&format!("worker-{n} is killed"));
-        }
-    }
-
     /// Returns the number of the leader, which the state service sees in the key that it writes.
     pub fn leader(&self) -> Option<usize> {
         let term = self.state.value("term")?;
@@ -269,7 +259,7 @@
     }
 
     /// Ends all processes, and then with status 1 if a rule was broken.
-    pub fn finish(mut self, broken: &[String]) -> ! {
+    pub fn finish(&self, broken: &[String]) -> ! {
         for line in broken {
             self.world.record.note(&format!("BROKEN: {line}"));
             println!("broken: {line}");
@@ -278,9 +268,7 @@
             self.world.record.note("the rule held");
             println!("the rule held");
         }
-        for n in 0..self.nodes.len() {
-            self.kill_node(n);
-        }
+        end_processes();
         self.remove_folder();
         std::process::exit(i32::from(!broken.is_empty()));
     }
@@ -375,6 +363,8 @@
     pub cores: f64,
     pub mem_gb: f64,
     pub run_s: f64,
+    /// Whether the job may use spot machines.
+    pub reclaimable: bool,
 }
 
 impl Submission {
@@ -405,7 +395,7 @@
             ("yard", Value::Null),
             ("together", Value::Bool(false)),
             ("apart", Value::Bool(false)),
-            ("reclaimable", Value::Bool(false)),
+            ("reclaimable", Value::Bool(self.reclaimable)),
             ("expected_s", Value::Float(if self.standing { 0.0 } else { self.run_s })),
             ("snapshot_every_s", Value::Float(0.0)),
             ("snapshot_cost_s", Value::Float(0.0)),
--- a/review/standins-2/src/machine.rs
+++ b/review/standins-2/src/machine.rs
@@ -550,8 +550,10 @@
 pub struct Cloud {
     world: Arc<World>,
     flavors: Vec<Flavor>,
-    /// The most machines of a type, a zone and a kind.
+    /// The most ordinary machines of a type and a zone.
     capacity: usize,
+    /// The same for spot machines.
+    spot_capacity: Mutex<usize>,
     /// How long a machine boots.
     boot_s: f64,
     lag_s: f64,
@@ -579,6 +581,7 @@
             world: world.clone(),
             flavors,
             capacity,
+            spot_capacity: Mutex::new(capacity),
             boot_s,
             lag_s,
             rented: Mutex::new(vec![]),
@@ -599,6 +602,22 @@
             .collect()
     }
 
+    /// Takes all spot machines back, without a notice, and gives no more of them.
+    pub fn take_spot_machines(&self) {
+        *self.spot_capacity.lock().unwrap() = 0;
+        let mut rented = self.rented.lock().unwrap();
+        for r in rented
+            .iter_mut()
+            .filter(|r| r.machine.reclaimable && r.gone_at.is_none())
+        {
+            r.gone_at = Some(Instant::now());
+            r.machine.end();
+            self.world
+                .record
+                .note(&format!("cloud: {} is taken back", r.machine.name));
+        }
+    }
+
     fn answer(&self, request: &Request) -> Reply {
         let path = request.plain_path();
         match (request.method.as_str(), path.as_str()) {
@@ -655,7 +674,12 @@
                 && r.machine.yard == yard
                 && r.machine.reclaimable == reclaimable
         };
-        let free = self.capacity.saturating_sub(rented.iter().filter(same).count());
+        let capacity = if reclaimable {
+            *self.spot_capacity.lock().unwrap()
+        } else {
+            self.capacity
+        };
+        let free = capacity.saturating_sub(rented.iter().filter(same).count());
         let count = (num_field(body, "count").unwrap_or(1.0) as usize).min(free);
         if count == 0 {
             return Reply::Answer(503, map(vec![("error", text("no capacity"))]));
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,6 +5,7 @@
 mod case5;
 mod case6;
 mod case7;
+mod case8;
 mod cluster;
 mod http;
 mod machine;
@@ -21,6 +22,7 @@
         [_, "5", record] => case5::run(trouble, record),
         [_, "6", record] => case6::run(trouble, record),
         [_, "7", record] => case7::run(trouble, record),
+        [_, "8", record] => case8::run(trouble, record),
         _ => {
             eprintln!("usage: standins-2 CASE RECORD");
             std::process::exit(2);
