--- a/review/standins-2/src/machine.rs
+++ b/review/standins-2/src/machine.rs
@@ -602,19 +602,17 @@
             .collect()
     }
 
-    /// Takes all spot machines back, without a notice, and gives no more of them.
-    pub fn take_spot_machines(&self) {
+    /// Takes a spot machine back, without a notice, and gives no more of them.
+    pub fn take_back(&self, name: &str) {
         *self.spot_capacity.lock().unwrap() = 0;
         let mut rented = self.rented.lock().unwrap();
         for r in rented
             .iter_mut()
-            .filter(|r| r.machine.reclaimable && r.gone_at.is_none())
+            .filter(|r| r.machine.name == name && r.gone_at.is_none())
         {
             r.gone_at = Some(Instant::now());
             r.machine.end();
-            self.world
-                .record
-                .note(&format!("cloud: {} is taken back", r.machine.name));
+            self.world.record.note(&format!("cloud: {name} is taken back"));
         }
     }
 
