--- a/review/standins-2/src/case7.rs
+++ b/review/standins-2/src/case7.rs
@@ -5,11 +5,14 @@
 use crate::util::{sleep, wait_for};
 use crate::waiting;
 
-/// How long services come, in seconds.
-const BURST_S: f64 = 10.0;
-/// The services that come in this time on an ordinary day, and how many times as many in a burst.
-const SERVICES: usize = 7;
-const FACTOR: usize = 4;
+/// The services at the start, and how long they take to come, in seconds.
+const AT_START: usize = 18;
+const START_S: f64 = 2.0;
+/// How many services come in a minute on an ordinary day, and how many times as many in a burst.
+const A_MINUTE: f64 = 6.4;
+const FACTOR: f64 = 4.0;
+/// How long the burst takes, in seconds.
+const BURST_S: f64 = 16.6;
 /// The machines that the cloud has in each zone.
 const CAPACITY: usize = 1;
 
@@ -30,16 +33,18 @@
         run_s: 0.0,
         reclaimable: false,
     };
-    let count = if trouble { SERVICES * FACTOR } else { SERVICES };
-    let ids = cluster.submit_over(BURST_S, leader, 100, count, &service);
+    let rate = A_MINUTE / 60.0 * if trouble { FACTOR } else { 1.0 };
+    let more = (rate * BURST_S) as usize;
+    let mut ids = cluster.submit_over(START_S, leader, 100, AT_START, &service);
+    ids.extend(cluster.submit_over(BURST_S, leader, 100 + AT_START, more, &service));
     if !wait_for(15.0, || ids.iter().all(|id| cluster.runs(id))) {
         cluster.cannot_run("the services don't run");
     }
     cluster
         .world
         .record
-        .note(&format!("{count} services run; no more come"));
-    sleep(1.0);
+        .note(&format!("{} services run; no more come", ids.len()));
+    sleep(0.5);
     let array = Submission {
         id: "run-000200".into(),
         class: "survey-ingest",
--- a/review/standins-2/src/cluster.rs
+++ b/review/standins-2/src/cluster.rs
@@ -110,11 +110,15 @@
 struct Node {
     config: PathBuf,
     log: PathBuf,
-    child: Option<Child>,
 }
 
-/// The processes that a case has started and not ended.
-static RUNNING: Mutex<Vec<u32>> = Mutex::new(vec![]);
+/// The processes that a case has started.
+static RUNNING: Mutex<Vec<Child>> = Mutex::new(vec![]);
+
+/// The temporary folder of this run.
+fn folder() -> PathBuf {
+    std::env::temp_dir().join(format!("glenhaven-review-{}", std::process::id()))
+}
 
 /// Ends the case with status 2 when it has run for too long.
 pub fn limit_time(limit_s: f64) {
@@ -122,14 +126,19 @@
         sleep(limit_s);
         println!("the case couldn't run: it took too long");
         end_processes();
+        std::fs::remove_dir_all(folder()).ok();
         std::process::exit(2);
     });
 }
 
-/// Ends the processes that the case has started, by their ids.
+/// Ends the processes that the case has started, and waits until they are gone.
 fn end_processes() {
-    for id in RUNNING.lock().unwrap().iter() {
-        Command::new("kill").arg("-KILL").arg(id.to_string()).status().ok();
+    let mut running = RUNNING.lock().unwrap();
+    for child in running.iter_mut() {
+        child.kill().ok();
+    }
+    for child in running.iter_mut() {
+        child.wait().ok();
     }
 }
 
@@ -172,7 +181,7 @@
         let names: Vec<String> = (0..count).map(|n| format!("worker-{n}")).collect();
         let public: Vec<u16> = (0..count).map(|_| free_port()).collect();
         let peer: Vec<u16> = (0..count).map(|_| free_port()).collect();
-        let dir = std::env::temp_dir().join(format!("glenhaven-review-{}", std::process::id()));
+        let dir = folder();
         std::fs::create_dir_all(&dir).expect("a temporary folder");
         let addresses: Vec<SocketAddr> = public.iter().map(|p| SocketAddr::from(([127, 0, 0, 1], *p))).collect();
         *world.nodes.lock().unwrap() = names.iter().cloned().zip(addresses.iter().copied()).collect();
@@ -192,11 +201,7 @@
             let services = (cloud_address, state_addresses[n]);
             std::fs::write(&config, settings(site, n, &public, &peer, services)).expect("the settings can be written");
             let log = cluster.dir.join(format!("node-{n}.log"));
-            cluster.nodes.push(Node {
-                config,
-                log,
-                child: None,
-            });
+            cluster.nodes.push(Node { config, log });
             cluster.start_node(n);
         }
         cluster
@@ -204,7 +209,7 @@
 
     /// Starts a controller with the command of the deploy file.
     pub fn start_node(&mut self, n: usize) {
-        let node = &mut self.nodes[n];
+        let node = &self.nodes[n];
         let log = File::options()
             .create(true)
             .append(true)
@@ -219,10 +224,7 @@
             .stderr(log)
             .spawn();
         match child {
-            Ok(child) => {
-                RUNNING.lock().unwrap().push(child.id());
-                node.child = Some(child);
-            }
+            Ok(child) => RUNNING.lock().unwrap().push(child),
             Err(error) => self.cannot_run(&format!("the controller can't be started: {error}")),
         }
         self.world.record.note(&format!("worker-{n} is started"));
