--- a/review/standins-2/src/cluster.rs
+++ b/review/standins-2/src/cluster.rs
@@ -154,12 +154,13 @@
     dir: PathBuf,
 }
 
-fn free_port() -> u16 {
-    // The port stays free for a moment; a collision ends the case with status 2.
-    TcpListener::bind("127.0.0.1:0")
-        .and_then(|l| l.local_addr())
-        .map(|a| a.port())
-        .expect("a free port")
+/// Returns free ports. Each run tries others first, below those that systems give to outgoing connections,
+/// so that runs side by side don't take each other's.
+fn free_ports(count: usize) -> Vec<u16> {
+    let first = std::process::id().wrapping_mul(16) % 20_000;
+    let ports = (0..20_000).map(|n| 10_000 + ((first + n) % 20_000) as u16);
+    let is_free = |port: &u16| TcpListener::bind(("127.0.0.1", *port)).is_ok();
+    ports.filter(is_free).take(count).collect()
 }
 
 impl Cluster {
@@ -179,8 +180,8 @@
         let (state, state_addresses) = State::start(count, site.limits);
         let (cloud, cloud_address) = Cloud::start(&world, site.flavors.clone(), capacity, boot_s, site.list_lag_s);
         let names: Vec<String> = (0..count).map(|n| format!("worker-{n}")).collect();
-        let public: Vec<u16> = (0..count).map(|_| free_port()).collect();
-        let peer: Vec<u16> = (0..count).map(|_| free_port()).collect();
+        let ports = free_ports(2 * count);
+        let (public, peer) = ports.split_at(count);
         let dir = folder();
         std::fs::create_dir_all(&dir).expect("a temporary folder");
         let addresses: Vec<SocketAddr> = public.iter().map(|p| SocketAddr::from(([127, 0, 0, 1], *p))).collect();
@@ -199,7 +200,7 @@
         for n in 0..count {
             let config = cluster.dir.join(format!("node-{n}.toml"));
             let services = (cloud_address, state_addresses[n]);
-            std::fs::write(&config, settings(site, n, &public, &peer, services)).expect("the settings can be written");
+            std::fs::write(&config, settings(site, n, public, peer, services)).expect("the settings can be written");
             let log = cluster.dir.join(format!("node-{n}.log"));
             cluster.nodes.push(Node { config, log });
             cluster.start_node(n);
